--- /dev/null
+++ b/packages/model/model.h
@@ -0,0 +1,10 @@
+/**
+ * The model package: findings, identifiers, the configuration objects with their checks, and the
+ * settings of the processes. It does no input or output.
+ *
+ * Dependencies: Boost.JSON, OpenSSL (digests), xxHash (non-cryptographic hashes).
+ */
+#pragma once
+
+#include "model/findings/finding.h"
+#include "model/findings/findingserror.h"
--- /dev/null
+++ b/tests/support/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
