--- a/packages/model/model.h
+++ b/packages/model/model.h
@@ -6,5 +6,7 @@
  */
 #pragma once
 
+#include "model/configuration/configuration.h"
 #include "model/findings/finding.h"
 #include "model/findings/findingserror.h"
+#include "model/request/requestcontext.h"
