Add the thin whole path of the node

The messages, adapters and node packages were missing. A caller's request now travels over HTTP to an entry node, over ZeroMQ (CURVE, protobuf) to the node beside the chosen backend server and back. Settings are JSON; the configuration is published with POST /operators/configuration and read back by polling. Membership is a heartbeat to the peers from the settings, the choice of the node is random.

Measured: messages_tests 4, adapters_tests 4 and node_tests 2 test cases pass (two nodes, a backend server and a platform in one process over loopback).

--- /dev/null
+++ b/packages/messages/messages.h
@@ -0,0 +1,10 @@
+/**
+ * The messages package: the frames that nodes exchange as plain structs, and their encoding as
+ * protobuf envelopes. It does no input or output.
+ *
+ * Dependencies: model, protobuf (generated code is committed in generated/).
+ */
+#pragma once
+
+#include "messages/codec/framecodec.h"
+#include "messages/frames/frames.h"
--- /dev/null
+++ b/packages/node/entry/bodysource.cpp
@@ -0,0 +1,45 @@
+#include "node/entry/bodysource.h"
+
+namespace chervilmount::node {
+
+using BodyRead = adapters::HttpExchange::BodyRead;
+
+BodySource::BodySource(adapters::HttpExchange &exchange, std::size_t replayBytes)
+    : m_exchange(exchange)
+    , m_replayBytes(replayBytes)
+{
+}
+
+bool BodySource::rewind()
+{
+    m_position = 0;
+    return !m_overflowed;
+}
+
+bool BodySource::atEnd() const
+{
+    return m_exchange.bodyRead() && (m_overflowed || m_position == m_kept.size());
+}
+
+adapters::Task<BodyRead> BodySource::read(std::string &data, std::size_t maximumBytes)
+{
+    if (!m_overflowed && m_position < m_kept.size()) {
+        data = m_kept.substr(m_position, maximumBytes);
+        m_position += data.size();
+        co_return BodyRead::Data;
+    }
+    const BodyRead result = co_await m_exchange.readBody(data, maximumBytes);
+    if (m_overflowed || result != BodyRead::Data)
+        co_return result;
+    if (m_kept.size() + data.size() > m_replayBytes) {
+        m_overflowed = true;
+        m_kept.clear();
+        m_kept.shrink_to_fit();
+    } else {
+        m_kept += data;
+        m_position = m_kept.size();
+    }
+    co_return result;
+}
+
+} // namespace chervilmount::node
--- /dev/null
+++ b/packages/node/entry/bodysource.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "adapters/http/httpexchange.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace chervilmount::node {
+
+/** The body of a caller's request; its beginning is kept so that further attempts can send it. */
+class BodySource
+{
+public:
+    /** @param replayBytes bodies up to this size can be sent again. */
+    BodySource(adapters::HttpExchange &exchange, std::size_t replayBytes);
+
+    /** Starts again from the beginning. @returns false if the beginning was not kept. */
+    bool rewind();
+
+    /** Reads the next part, of at most maximumBytes. */
+    adapters::Task<adapters::HttpExchange::BodyRead> read(std::string &data,
+                                                          std::size_t maximumBytes);
+
+    /** @returns true if the last part has been read. */
+    bool atEnd() const;
+
+private:
+    adapters::HttpExchange &m_exchange;
+    std::size_t m_replayBytes;
+    std::string m_kept;
+    std::size_t m_position = 0;
+    bool m_overflowed = false;
+};
+
+} // namespace chervilmount::node
--- /dev/null
+++ b/packages/node/entry/callplan.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "adapters/http/httpmessage.h"
+#include "model/request/requestcontext.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace chervilmount::node {
+
+/** A request that may be sent to a backend server. */
+struct CallPlan
+{
+    model::RequestContext m_context;
+    std::string m_service;
+    std::string m_route;
+    /** Head for the backend server, without the caller's key. */
+    adapters::HttpRequestHead m_head;
+    std::uint64_t m_maximumBodyBytes = 0;
+};
+
+/** Why a request is answered without a response of a backend server. */
+struct RefusalReply
+{
+    int m_status = 503;
+    /** True if the request is known not to have run. */
+    bool m_notRun = true;
+    std::string m_reason;
+    std::chrono::milliseconds m_retryAfter{0};
+};
+
+} // namespace chervilmount::node
--- /dev/null
+++ b/tests/node/support/fleet.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "node/node.h"
+#include "node/support/client.h"
+#include "node/support/fakebackend.h"
+#include "node/support/fakeplatform.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+/** Several nodes and a platform on one I/O context, connected over loopback. */
+class Fleet
+{
+public:
+    /**
+     * @param nodes number of nodes.
+     * @param adjust changes the settings of a node before it starts.
+     */
+    explicit Fleet(std::size_t nodes,
+                   const std::function<void(std::size_t, chervilmount::node::NodeSettings &)>
+                           &adjust = {});
+    ~Fleet();
+
+    /** Runs a test's coroutine to its end; fails the test if it throws or takes over 30 s. */
+    void run(const std::function<chervilmount::adapters::Task<>()> &body);
+
+    /** Publishes a configuration through the first node and waits until all nodes have it. */
+    chervilmount::adapters::Task<bool> publish(std::string text, std::uint64_t expectedVersion = 0);
+
+    /** Waits until a condition holds. @returns false after 10 s. */
+    chervilmount::adapters::Task<bool> until(std::function<bool()> condition);
+
+    /** Waits until the node knows this many serving members of a service, itself included. */
+    chervilmount::adapters::Task<bool> untilServing(std::size_t node, std::string service,
+                                                    std::size_t count);
+
+    boost::asio::any_io_executor executor() { return m_context.get_executor(); }
+    FakePlatform &platform() { return *m_platform; }
+    chervilmount::node::Node &node(std::size_t index) { return *m_nodes[index]; }
+    const chervilmount::node::NodeSettings &settings(std::size_t index) const
+    {
+        return m_nodes[index]->settings();
+    }
+
+private:
+    boost::asio::io_context m_context;
+    std::unique_ptr<FakePlatform> m_platform;
+    std::vector<std::unique_ptr<chervilmount::node::Node>> m_nodes;
+};
+
+/** @returns an unused "127.0.0.1:port". */
+std::string freeAddress();
+
+/**
+ * A configuration with the keyed route "/slips" to slipdesk for the organisation "addis" (key
+ * "secret-addis"), the open route "/open" to slipdesk, the keyed route "/staff" to staffrolls, and
+ * the once-only route "/print" to printhall.
+ */
+std::string sampleConfiguration();
+
+/** Key of the deployment in all tests. */
+constexpr const char *TestDigestKey = "digest-key-of-the-tests";
