Read configurations from JSON with all findings

Operators write the set in several files and need every mistake reported at once. ObjectReader reads typed fields and records a finding for each missing, unknown, duplicate or mistyped field; the settings parser can use it as well.

--- a/packages/model/configuration/route.h
+++ b/packages/model/configuration/route.h
@@ -38,7 +38,7 @@
     /** Whether requests may use the paid link to another region. */
     bool m_crossRegion = false;
     /** Largest accepted request body in bytes. */
-    std::uint64_t m_maximumBodyBytes = 1024 * 1024;
+    std::uint64_t m_maximumBodyBytes = std::uint64_t{1024} * 1024;
 };
 
 } // namespace chervilmount::model
--- /dev/null
+++ b/packages/model/json/objectreader.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include "model/findings/finding.h"
+#include "model/findings/place.h"
+#include "model/json/document.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <initializer_list>
+#include <limits>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace chervilmount::model {
+
+/** Whether a field must be there. */
+enum class Presence {
+    Required,
+    /** The target keeps its value when the field is absent. */
+    Optional
+};
+
+/** Smallest and largest accepted value, both included. */
+template<typename Number>
+struct NumberRange
+{
+    Number m_minimum = std::numeric_limits<Number>::lowest();
+    Number m_maximum = std::numeric_limits<Number>::max();
+};
+
+/**
+ * Reads the fields of one JSON object into typed variables. Every problem becomes a finding and
+ * reading goes on, so that one pass reports all problems. A target keeps its value when its field
+ * is absent or has a finding.
+ *
+ * Call finish() after the last field: it reports the fields that were not asked for.
+ */
+class ObjectReader
+{
+public:
+    /**
+     * @param value the object; anything else is a finding, and all fields then read as absent
+     * without further findings.
+     * @param place where the object stands.
+     * @param findings receives the findings; must outlive the reader.
+     */
+    ObjectReader(const boost::json::value &value, Place place, Findings &findings);
+
+    /** @returns whether the value is an object. */
+    bool isObject() const { return m_object != nullptr; }
+
+    /** @returns whether the object has the field. */
+    bool has(std::string_view field) const;
+
+    /** @returns where the object stands. */
+    const Place &place() const { return m_place; }
+
+    void readString(std::string_view field, std::string &target,
+                    Presence presence = Presence::Required);
+    void readBoolean(std::string_view field, bool &target, Presence presence = Presence::Required);
+    void readNumber(std::string_view field, double &target, Presence presence = Presence::Required,
+                    NumberRange<double> range = {});
+    /** Reads an array of strings. */
+    void readStrings(std::string_view field, std::vector<std::string> &target,
+                     Presence presence = Presence::Required);
+
+    /** Reads an integer; fractions and values outside of the range are findings. */
+    template<std::integral Integer>
+    void readInteger(std::string_view field, Integer &target,
+                     Presence presence = Presence::Required, NumberRange<Integer> range = {})
+    {
+        const boost::json::value *value = find(field, presence);
+        if (value == nullptr)
+            return;
+        if (!value->is_int64() && !value->is_uint64())
+            return report(field, "not an integer", "use an integer");
+        const bool isInRange = value->is_int64()
+                ? std::cmp_greater_equal(value->get_int64(), range.m_minimum)
+                        && std::cmp_less_equal(value->get_int64(), range.m_maximum)
+                : std::cmp_greater_equal(value->get_uint64(), range.m_minimum)
+                        && std::cmp_less_equal(value->get_uint64(), range.m_maximum);
+        if (!isInRange)
+            return report(field, "out of range",
+                          "use " + std::to_string(range.m_minimum) + " to "
+                                  + std::to_string(range.m_maximum));
+        target = value->is_int64() ? static_cast<Integer>(value->get_int64())
+                                   : static_cast<Integer>(value->get_uint64());
+    }
+
+    /** Reads a duration as an integer count of the target's unit. */
+    template<typename Duration>
+    void readDuration(std::string_view field, Duration &target,
+                      Presence presence = Presence::Required, NumberRange<std::int64_t> range = {})
+    {
+        std::int64_t count = target.count();
+        readInteger(field, count, presence, range);
+        target = Duration(count);
+    }
+
+    /** Reads one of a list of words. */
+    template<typename Choice>
+    void readChoice(std::string_view field, Choice &target,
+                    std::initializer_list<std::pair<std::string_view, Choice>> choices,
+                    Presence presence = Presence::Required)
+    {
+        const boost::json::value *value = find(field, presence);
+        if (value == nullptr)
+            return;
+        std::string words;
+        for (const std::pair<std::string_view, Choice> &choice : choices) {
+            if (value->is_string() && std::string_view(value->get_string()) == choice.first) {
+                target = choice.second;
+                return;
+            }
+            words += (words.empty() ? "\"" : " or \"") + std::string(choice.first) + "\"";
+        }
+        report(field, "not one of the accepted words", "use " + words);
+    }
+
+    /** Reads an object; calls @p read with a reader for it and then finishes that reader. */
+    template<typename Read>
+    void readObject(std::string_view field, Read read, Presence presence = Presence::Required)
+    {
+        const boost::json::value *value = find(field, presence);
+        if (value == nullptr)
+            return;
+        ObjectReader reader(*value, placeOf(field), m_findings);
+        readWith(reader, read);
+    }
+
+    /** Reads an array of objects; calls @p read with a reader for each and finishes the reader. */
+    template<typename Read>
+    void readObjects(std::string_view field, Read read, Presence presence = Presence::Required)
+    {
+        const boost::json::value *value = find(field, presence);
+        if (value == nullptr)
+            return;
+        const boost::json::array *array = value->if_array();
+        if (array == nullptr)
+            return report(field, "not an array", "use an array of objects");
+        const Place place = placeOf(field);
+        for (std::size_t index = 0; index < array->size(); ++index) {
+            ObjectReader reader(
+                    (*array)[index],
+                    {place.m_source, childPointer(place.m_pointer, std::to_string(index))},
+                    m_findings);
+            readWith(reader, read);
+        }
+    }
+
+    /** Records a finding for a field, for checks beyond the type of the value. */
+    void report(std::string_view field, std::string problem, std::string remedy);
+
+    /** Reports all fields that no call has asked for. */
+    void finish();
+
+private:
+    template<typename Read>
+    static void readWith(ObjectReader &reader, Read &read)
+    {
+        if (!reader.isObject())
+            return;
+        read(reader);
+        reader.finish();
+    }
+
+    const boost::json::value *find(std::string_view field, Presence presence);
+    Place placeOf(std::string_view field) const;
+
+    const boost::json::object *m_object;
+    Place m_place;
+    Findings &m_findings;
+    std::set<std::string, std::less<>> m_known;
+};
+
+} // namespace chervilmount::model
--- a/packages/model/model.h
+++ b/packages/model/model.h
@@ -7,6 +7,14 @@
 #pragma once
 
 #include "model/configuration/configuration.h"
+#include "model/configuration/objectkind.h"
 #include "model/findings/finding.h"
 #include "model/findings/findingserror.h"
+#include "model/findings/place.h"
+#include "model/json/document.h"
+#include "model/json/objectreader.h"
+#include "model/json/text.h"
+#include "model/parsing/configurationparser.h"
+#include "model/parsing/configurationplaces.h"
+#include "model/parsing/objectfields.h"
 #include "model/request/requestcontext.h"
