Check, compare, hash and index configurations

The set is checked as a whole, and all findings of reading and checking are reported together in document order. A once-only route may state at most one extra attempt; open once-only routes are findings, because a once-only request is claimed for an organisation.

Versions move up by deltas with the set hash over cached object hashes. Routes and keys are found in hash tables; paths with dot segments match no route, since a backend server would resolve them to a path that the route does not cover.

The fixed set hash in the tests was computed separately from the documented form.

--- /dev/null
+++ b/packages/model/check/setchecker.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "model/check/configurationcheck.h"
+#include "model/check/formats.h"
+#include "model/configuration/objectkind.h"
+
+#include <boost/json/value.hpp>
+
+#include <array>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace chervilmount::model {
+
+/** One check of a set; collects the findings. @see checkConfiguration */
+class SetChecker
+{
+public:
+    /** @param set the set; must outlive the checker. */
+    explicit SetChecker(const PlacedConfiguration &set);
+
+    /** @returns all findings and notes. */
+    CheckResult check();
+
+private:
+    using Names = std::unordered_map<std::string_view, std::size_t>;
+
+    /** A value of the set: kind and index of the object and the path to the field in it. */
+    struct ValuePlace
+    {
+        ObjectKind m_kind;
+        std::size_t m_index;
+        /** For example "/shares/0/fraction". */
+        std::string m_path;
+    };
+
+    void checkNames();
+    void checkServices();
+    void checkCallGraph();
+    void checkRoutes();
+    void checkRoute(std::size_t index);
+    void checkOnceOnly(std::size_t index);
+    void checkRouteConflicts();
+    void checkOrganisations();
+    void checkShares(std::size_t index);
+    /** Notes a burst of which some failure domain gets less than one request. */
+    void noteSmallBurst(std::size_t index);
+    void checkPriorities();
+    void checkKeys();
+
+    void report(const ValuePlace &place, const boost::json::value &value, std::string problem,
+                std::string remedy);
+    void note(const ValuePlace &place, const boost::json::value &value, std::string problem,
+              std::string remedy);
+    void reportFormat(const ValuePlace &place, std::string_view value,
+                      const FormatProblem &problem);
+    void reportRange(const ValuePlace &place, const boost::json::value &value,
+                     const std::string &remedy);
+    /** Reports a name that no object of the kind has. */
+    void checkReference(const ValuePlace &place, std::string_view name, ObjectKind target);
+    /** Reports strings that occur twice in a list. */
+    void checkRepeated(const ValuePlace &place, const std::vector<std::string> &strings);
+    Finding finding(const ValuePlace &place, const boost::json::value &value, std::string problem,
+                    std::string remedy) const;
+    /** @returns "file#pointer" of an object, to point to the other half of a conflict. */
+    std::string placeText(ObjectKind kind, std::size_t index) const;
+    std::string pathText(const std::vector<std::size_t> &services) const;
+
+    const PlacedConfiguration &m_set;
+    const Configuration &m_configuration;
+    /** Index of the first object of each name, by kind. */
+    std::array<Names, ObjectKinds> m_names;
+    CheckResult m_result;
+};
+
+} // namespace chervilmount::model
--- /dev/null
+++ b/packages/model/version/objecthashes.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "model/configuration/configuration.h"
+#include "model/configuration/objectkind.h"
+#include "model/digest/sha256.h"
+#include "model/json/text.h"
+#include "model/parsing/objectfields.h"
+
+#include <string>
+#include <vector>
+
+namespace chervilmount::model {
+
+/** @returns SHA-256 over the kind and the canonical JSON of an object. */
+template<typename Object>
+Digest objectHash(ObjectKind kind, const Object &object)
+{
+    return sha256(std::string(sectionName(kind)) + ' ' + toText(toJson(object)));
+}
+
+/** The sorted hashes of all objects of a set. Changing one object costs the hash of that object;
+ * the other objects are not serialised again. */
+class ObjectHashes
+{
+public:
+    ObjectHashes() = default;
+
+    /** Computes the hashes of a set in canonical order. */
+    explicit ObjectHashes(const Configuration &configuration);
+
+    void add(const Digest &hash);
+
+    /** Removes one hash. @returns whether it was there. */
+    bool remove(const Digest &hash);
+
+    /** @returns the set hash: SHA-256 over the sorted object hashes. */
+    Digest setHash() const;
+
+private:
+    std::vector<Digest> m_sorted;
+};
+
+/** @returns the set hash of a set, which need not be in canonical order. */
+Digest setHash(const Configuration &configuration);
+
+} // namespace chervilmount::model
