--- /dev/null
+++ b/packages/overload/admission/admission.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "overload/admission/admissionqueue.h"
+#include "overload/limit/concurrencylimit.h"
+#include "overload/reason/reason.h"
+#include "overload/threshold/ownthreshold.h"
+
+#include <chrono>
+#include <vector>
+
+namespace chervilmount::overload {
+
+/** Settings of the admission at the node beside a backend server. */
+struct AdmissionSettings
+{
+    LimitSettings m_limit;
+    /** Longest wait of a class whose queue has stood for the interval. */
+    std::chrono::nanoseconds m_sojournTarget = std::chrono::milliseconds{5};
+    /** Longest wait of a class whose queue does not stand. */
+    std::chrono::nanoseconds m_sojournInterval = std::chrono::milliseconds{100};
+    /** Bound of the queue's memory; the sojourn bound normally keeps the queue far below it. */
+    std::uint32_t m_maximumQueued = 1024;
+};
+
+/** Admission state of the node beside one backend server. */
+struct Admission
+{
+    AdmissionSettings m_settings;
+    ConcurrencyLimit m_limit;
+    AdmissionQueue m_queue;
+    OwnThreshold m_threshold;
+    /** Calls at the backend server. */
+    int m_inFlight = 0;
+    /** Average time a call holds a slot, with nested calls, in seconds; 0 until known. */
+    double m_averageSlotTime = 0.0;
+    /** Estimate of the 10th percentile of the same, in seconds; 0 until known. */
+    double m_lowSlotTime = 0.0;
+    bool m_leaving = false;
+};
+
+/** A call that arrives from another node. */
+struct ArrivingCall
+{
+    CallNumber m_call = 0;
+    NameNumber m_organisation = NoOrganisation;
+    Rank m_rank = 0;
+    float m_cost = 1.0F;
+    std::chrono::steady_clock::time_point m_deadline;
+};
+
+enum class Verdict { Start, Wait, Refuse };
+
+/** Decision on an arriving call. */
+struct AdmissionDecision
+{
+    Verdict m_verdict = Verdict::Refuse;
+    Reason m_reason = Reason::QueueFull;
+};
+
+/** A waiting call that is refused as not run. */
+struct RefusedCall
+{
+    CallNumber m_call = 0;
+    Reason m_reason = Reason::SojournExceeded;
+};
+
+/** What the node has to do with waiting calls. The functions below append to it. */
+struct AdmissionEffects
+{
+    /** Calls to send to the backend server now. */
+    std::vector<CallNumber> m_started;
+    /** Calls to refuse as not run now. */
+    std::vector<RefusedCall> m_refused;
+};
+
+/** @returns the admission of a backend server that has just announced its slots. */
+Admission coldAdmission(const AdmissionSettings &settings, int slots);
+
+/**
+ * Decides on an arriving call. A call that starts holds a slot until finishCall().
+ * @param effects gets a less important call that this call displaces from a full queue.
+ */
+AdmissionDecision arrive(Admission &admission, const ArrivingCall &arriving,
+                         std::chrono::steady_clock::time_point now, AdmissionEffects &effects);
+
+/**
+ * Frees the slot of a call and starts waiting calls.
+ * @param ownLatency time at the backend server without its nested calls.
+ * @param slotTime time at the backend server with its nested calls.
+ */
+void finishCall(Admission &admission, CallResult result, std::chrono::nanoseconds ownLatency,
+                std::chrono::nanoseconds slotTime, std::chrono::steady_clock::time_point now,
+                AdmissionEffects &effects);
+
+/**
+ * Removes a waiting call whose caller has gone.
+ * @returns whether it was waiting; a running call is ended with finishCall() instead.
+ */
+bool cancelWaiting(Admission &admission, CallNumber call);
+
+/**
+ * Refuses calls that have waited too long, starts calls if the limit has grown and renews the
+ * threshold. Called every few milliseconds while calls wait, otherwise every 100 ms.
+ */
+void tick(Admission &admission, std::chrono::steady_clock::time_point now,
+          AdmissionEffects &effects);
+
+/** @returns the expected wait of a new call of this rank; 0 while the slot time is unknown. */
+std::chrono::nanoseconds expectedWait(const Admission &admission, Rank rank);
+
+/**
+ * @returns the load that responses carry: calls running and waiting, scaled up by the announced
+ * slots over the limit, so that a backend server with a lowered limit appears loaded.
+ */
+double carriedLoad(const Admission &admission);
+
+} // namespace chervilmount::overload
--- /dev/null
+++ b/packages/overload/admission/admissionqueue.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "overload/names/nametable.h"
+#include "overload/rank/rank.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace chervilmount::overload {
+
+/** Number that the node gives to an attempt; unique within the node. */
+using CallNumber = std::uint64_t;
+
+/** A call that waits for a slot. */
+struct QueuedCall
+{
+    CallNumber m_call = 0;
+    NameNumber m_organisation = NoOrganisation;
+    Rank m_rank = 0;
+    /** Expected use of a slot relative to the service's average; weighs in the round robin. */
+    float m_cost = 1.0F;
+    std::chrono::steady_clock::time_point m_deadline;
+    std::chrono::steady_clock::time_point m_queuedAt;
+};
+
+/** Index of a queue entry or organisation that does not exist. */
+constexpr std::uint32_t NoIndex = 0xffffffff;
+
+/** Waiting calls of one organisation in one class, first come, first served. */
+struct OrganisationQueue
+{
+    std::uint32_t m_first = NoIndex;
+    std::uint32_t m_last = NoIndex;
+    /** Next organisation in the round; only valid while the queue is not empty. */
+    std::uint32_t m_nextInRound = NoIndex;
+    float m_deficit = 0.0F;
+};
+
+/** Waiting calls of one pair of priority and over-use level. */
+struct ClassQueue
+{
+    /** Indexed by the organisation's number. */
+    std::vector<OrganisationQueue> m_organisations;
+    /** Organisation before the one whose turn it is, in the ring of those with waiting calls. */
+    std::uint32_t m_beforeTurn = NoIndex;
+    std::uint32_t m_size = 0;
+    /** When a call of this class last found a free slot or was the last to be dequeued. */
+    std::chrono::steady_clock::time_point m_lastEmpty;
+};
+
+/** A place in the queue's memory. */
+struct QueueEntry
+{
+    QueuedCall m_queued;
+    std::uint32_t m_next = NoIndex;
+    std::uint32_t m_previous = NoIndex;
+};
+
+/**
+ * Calls that wait for a slot: strict order over the classes of the rank, deficit round robin over
+ * the organisations within a class.
+ */
+struct AdmissionQueue
+{
+    std::array<ClassQueue, RankClasses> m_classes;
+    std::vector<QueueEntry> m_entries;
+    std::vector<std::uint32_t> m_freeEntries;
+    std::unordered_map<CallNumber, std::uint32_t> m_entryOfCall;
+    /** Bit c is set while class c has waiting calls. */
+    std::uint32_t m_occupied = 0;
+    std::uint32_t m_size = 0;
+};
+
+/** Appends a call to its organisation's queue. */
+void enqueue(AdmissionQueue &queue, const QueuedCall &queued);
+
+/** Takes the next call in turn. @returns nothing if the queue is empty. */
+std::optional<QueuedCall> dequeue(AdmissionQueue &queue, std::chrono::steady_clock::time_point now);
+
+/** Takes a call out, for example because its caller has gone. @returns whether it was waiting. */
+bool removeCall(AdmissionQueue &queue, CallNumber call);
+
+/** Takes out the newest call of the least important class, if that is less important than the rank.
+ */
+std::optional<QueuedCall> removeLeastImportant(AdmissionQueue &queue, Rank rank);
+
+/** Takes out every call that has waited longer than its class allows, and appends it to expired. */
+void removeExpired(AdmissionQueue &queue, std::chrono::nanoseconds target,
+                   std::chrono::nanoseconds interval, std::chrono::steady_clock::time_point now,
+                   std::vector<QueuedCall> &expired);
+
+/** @returns how long a call of the class may wait: the target while its queue stands. */
+std::chrono::nanoseconds sojournBound(const ClassQueue &queue, std::chrono::nanoseconds target,
+                                      std::chrono::nanoseconds interval,
+                                      std::chrono::steady_clock::time_point now);
+
+/** @returns the number of waiting calls that go before a new call of this rank. */
+std::uint32_t waitingBefore(const AdmissionQueue &queue, Rank rank);
+
+} // namespace chervilmount::overload
--- /dev/null
+++ b/packages/overload/overload.h
@@ -0,0 +1,21 @@
+/**
+ * The overload package: decides which calls run, wait or are refused, and which failed attempts are
+ * repeated. Free functions over plain structs; the present time and the randomness are arguments.
+ * It does no input or output.
+ *
+ * Dependencies: model, xxHash.
+ */
+#pragma once
+
+#include "overload/admission/admission.h"
+#include "overload/admission/admissionqueue.h"
+#include "overload/deadline/deadline.h"
+#include "overload/limit/concurrencylimit.h"
+#include "overload/names/nametable.h"
+#include "overload/rank/rank.h"
+#include "overload/reason/reason.h"
+#include "overload/retry/attemptallowance.h"
+#include "overload/retry/retrybudget.h"
+#include "overload/retry/retrydecision.h"
+#include "overload/threshold/carriedthreshold.h"
+#include "overload/threshold/ownthreshold.h"
--- /dev/null
+++ b/packages/routing/choice/candidate.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "overload/names/nametable.h"
+#include "overload/threshold/carriedthreshold.h"
+#include "routing/outlier/outlier.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace chervilmount::routing {
+
+/** Where a backend server is, seen from the calling node. */
+enum class Place { SameFailureDomain, SameRegion, OtherRegion };
+constexpr int Places = 3;
+
+/** A backend server as the member table describes it. */
+struct Member
+{
+    std::string m_nodeId;
+    Place m_place = Place::SameFailureDomain;
+    int m_slots = 1;
+    /** The node has said that it leaves, or its failure domain cannot be reached. */
+    bool m_excluded = false;
+};
+
+/** A backend server of the subset with what this node knows about it. */
+struct Candidate
+{
+    Member m_member;
+    std::chrono::steady_clock::time_point m_appearedAt;
+    /** Calls of this node that have not ended. */
+    int m_inFlight = 0;
+    /** Load from the newest response. @see overload::carriedLoad */
+    double m_load = 0.0;
+    std::chrono::steady_clock::time_point m_loadAt;
+    OutlierState m_outlier;
+    /** Threshold from responses, indexed by the route's number. */
+    std::vector<overload::CarriedThreshold> m_thresholds;
+};
+
+/** Settings of the choice of a backend server. */
+struct RoutingSettings
+{
+    OutlierSettings m_outlier;
+    std::size_t m_subsetSize = 16;
+    /** Weight of a backend server that has just appeared. */
+    double m_firstWeight = 0.1;
+    /** Time until it has its whole weight. */
+    std::chrono::nanoseconds m_slowStart = std::chrono::seconds{10};
+    /** Carried load halves after this age. */
+    std::chrono::nanoseconds m_loadHalfLife = std::chrono::milliseconds{200};
+};
+
+/** Candidates of one service at one calling node. */
+struct ServiceCandidates
+{
+    /** Ordered by place. */
+    std::vector<Candidate> m_candidates;
+};
+
+/** @returns the weight in the draw: grows from the first weight to 1 during the slow start. */
+double drawWeight(const Candidate &candidate, const RoutingSettings &settings,
+                  std::chrono::steady_clock::time_point now);
+
+/** @returns (own calls in flight + aged carried load) / slots. */
+double loadPerSlot(const Candidate &candidate, const RoutingSettings &settings,
+                   std::chrono::steady_clock::time_point now);
+
+/** @returns the threshold of the candidate's subtree for a route. */
+overload::Rank candidateThreshold(const Candidate &candidate, overload::NameNumber route,
+                                  std::chrono::steady_clock::time_point now);
+
+/**
+ * Threshold of the service for a route: the highest among the candidates that can be chosen, so
+ * that a request is shed at the entry only if no backend server would admit it.
+ */
+overload::Rank serviceThreshold(const ServiceCandidates &candidates, overload::NameNumber route,
+                                std::chrono::steady_clock::time_point now);
+
+} // namespace chervilmount::routing
