--- a/packages/overload/admission/admission.cpp
+++ b/packages/overload/admission/admission.cpp
@@ -76,7 +76,8 @@
 AdmissionDecision waitForSlot(Admission &admission, const ArrivingCall &arriving,
                               std::chrono::steady_clock::time_point now, AdmissionEffects &effects)
 {
-    if (arriving.m_rank > admission.m_threshold.m_rank)
+    if (admission.m_settings.m_shedsAboveThreshold
+        && arriving.m_rank > admission.m_threshold.m_rank)
         return {Verdict::Refuse, Reason::AboveThreshold};
     if (!canMeetDeadline(expectedWait(admission, arriving.m_rank),
                          fromSeconds(admission.m_lowSlotTime), arriving.m_deadline, now))
--- a/packages/overload/admission/admission.h
+++ b/packages/overload/admission/admission.h
@@ -20,6 +20,8 @@
     std::chrono::nanoseconds m_sojournInterval = std::chrono::milliseconds{100};
     /** Bound of the queue's memory; the sojourn bound normally keeps the queue far below it. */
     std::uint32_t m_maximumQueued = 1024;
+    /** Whether calls above the own threshold are refused when no slot is free. */
+    bool m_shedsAboveThreshold = true;
 };
 
 /** Admission state of the node beside one backend server. */
