--- /dev/null
+++ b/packages/sharedstate/claims/claimevent.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "sharedstate/store/storeoperation.h"
+#include "sharedstate/store/storeresult.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace chervilmount::sharedstate {
+
+/** A once-only call arrived and needs a claim before it is dispatched. */
+struct ClaimWanted
+{
+    std::uint64_t m_call = 0;
+    std::string m_organisation;
+    /** Hash of the Idempotency-Key header as hexadecimal text. */
+    std::string m_keyHash;
+    /** Digest of method, path and body as hexadecimal text. */
+    std::string m_digest;
+    std::chrono::steady_clock::time_point m_deadline;
+};
+
+/** The call was proven not to have run, and it will not be sent again. */
+struct CallNotRun
+{
+    std::uint64_t m_call = 0;
+};
+
+/** The whole response of the dispatched call is known. */
+struct CallAnswered
+{
+    std::uint64_t m_call = 0;
+    /** Status, headers and body as opaque bytes. */
+    std::string m_response;
+};
+
+/** The outcome of the dispatched call is unknown; its claim stays. */
+struct CallOutcomeUnknown
+{
+    std::uint64_t m_call = 0;
+};
+
+/** Result of claims that were sent through the relay. */
+struct ClaimResult
+{
+    std::uint64_t m_request = 0;
+    StoreOutcome m_outcome = StoreOutcome::Unknown;
+    std::vector<WriteResult> m_writes;
+};
+
+/** Time passes; to be sent every few milliseconds while calls wait. */
+struct ClaimTick
+{
+};
+
+using ClaimEvent = std::variant<ClaimWanted, CallNotRun, CallAnswered, CallOutcomeUnknown,
+                                StoreResult, ClaimResult, ClaimTick>;
+
+/** Claims for the domain's group holder to insert with those of other nodes. */
+struct ClaimRequest
+{
+    std::uint64_t m_request = 0;
+    std::vector<RowWrite> m_writes;
+};
+
+enum class ClaimVerdict {
+    /** The claim is known: send the call. */
+    Dispatch,
+    /** Refuse as not run; nothing was or will be sent. */
+    RefuseNotRun,
+    /** Respond with the recorded response of the earlier attempt. */
+    ReplayResponse,
+    /** Status 409: an earlier attempt holds the claim and has no recorded response. */
+    OutcomeUnknown,
+    /** Status 422: the key was used with another method, path or body. */
+    DigestMismatch
+};
+
+/** What the node has to do with a call. */
+struct ClaimDecision
+{
+    std::uint64_t m_call = 0;
+    ClaimVerdict m_verdict = ClaimVerdict::RefuseNotRun;
+    /** The recorded response, for ReplayResponse. */
+    std::string m_response;
+    /** Word for logs and for the header Chervilmount-Reason. */
+    std::string m_reason;
+};
+
+struct ClaimEffects
+{
+    std::vector<StoreRequest> m_store;
+    /** To the domain's group holder. */
+    std::vector<ClaimRequest> m_relay;
+    std::vector<ClaimDecision> m_decisions;
+};
+
+/** Breaks one rule each; set by tests only, to show that the checkers find it. */
+struct ClaimFaults
+{
+    /** Dispatches when the insert is sent. */
+    bool m_dispatchBeforeClaimKnown = false;
+    /** Takes an unknown outcome of the insert for success. */
+    bool m_unknownIsClaimed = false;
+    /** Refuses as not run when the outcome of a dispatched call is unknown. */
+    bool m_releaseAfterUnknownOutcome = false;
+    /** Deletes the claim row whatever its revision is. */
+    bool m_unconditionalRelease = false;
+};
+
+} // namespace chervilmount::sharedstate
--- a/packages/sharedstate/sharedstate.h
+++ b/packages/sharedstate/sharedstate.h
@@ -8,5 +8,7 @@
  */
 #pragma once
 
+#include "sharedstate/claims/claimrelay.h"
+#include "sharedstate/claims/claimstep.h"
 #include "sharedstate/store/storeoperation.h"
 #include "sharedstate/store/storeresult.h"
