--- a/tests/sharedstate/claimbatch_test.cpp
+++ b/tests/sharedstate/claimbatch_test.cpp
@@ -14,6 +14,13 @@
     return {call, "org", toHex(call), "digest", now + seconds(2)};
 }
 
+RowWrite writeOf(const std::string &row)
+{
+    RowWrite write;
+    write.m_row = row;
+    return write;
+}
+
 } // namespace
 
 // Guards against one store write for each claim: the store allows a few hundred writes a second.
@@ -57,8 +64,8 @@
 {
     ClaimRelayState relay;
     const TimePoint start{seconds(100)};
-    relayClaims(relay, "a", {7, {RowWrite{"claims/org/1"}}}, start);
-    relayClaims(relay, "b", {9, {RowWrite{"claims/org/2"}, RowWrite{"claims/org/3"}}}, start);
+    relayClaims(relay, "a", {7, {writeOf("claims/org/1")}}, start);
+    relayClaims(relay, "b", {9, {writeOf("claims/org/2"), writeOf("claims/org/3")}}, start);
     const ClaimRelayEffects sent = relayTick(relay, start + milliseconds(5));
     REQUIRE(sent.m_store.size() == 1);
     StoreResult result;
