--- a/packages/model/check/formats.cpp
+++ b/packages/model/check/formats.cpp
@@ -114,7 +114,7 @@
     if (isAccepted)
         return {};
     return {"not a digest",
-            "use the 64 lower-case hex digits that `chervilmount-ctl keys digest` prints"};
+            "use the 64 lower-case hex digits that `chervilmount-ctl digest` prints"};
 }
 
 } // namespace chervilmount::model
--- a/packages/model/model.h
+++ b/packages/model/model.h
@@ -14,6 +14,7 @@
 #include "model/digest/sha256.h"
 #include "model/findings/finding.h"
 #include "model/findings/findingserror.h"
+#include "model/findings/findingsjson.h"
 #include "model/findings/place.h"
 #include "model/index/configurationindex.h"
 #include "model/index/keytable.h"
