Add leases with successors' promises

Rate groups and the configuration need one holder each, also through a store outage and pauses longer than the lease. The holder's right counts from before the last successful renewal was sent; beyond T it needs the promises of every successor that the row may name, including a renewal of unknown outcome. A successor with an open takeover gives no promise until the row's revision moves on.

--- /dev/null
+++ b/packages/sharedstate/lease/leaserow.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "sharedstate/store/rowvalue.h"
+
+#include <boost/json.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chervilmount::sharedstate {
+
+/** A node in one incarnation. */
+struct NodeReference
+{
+    /** Failure domain and address, unique over the fleet. */
+    std::string m_node;
+    std::uint64_t m_incarnation = 0;
+
+    bool operator==(const NodeReference &) const = default;
+    auto operator<=>(const NodeReference &) const = default;
+};
+
+/** The value of a row `leases/<name>`. */
+struct LeaseRow
+{
+    /** Raised by each change of the holder. */
+    std::uint64_t m_epoch = 0;
+    /** Absent if the lease is free. */
+    std::optional<NodeReference> m_holder;
+    /** Nodes that may take over; their promises extend the holder's right. */
+    std::vector<NodeReference> m_successors;
+    Nonce m_nonce = 0;
+    std::uint64_t m_renewal = 0;
+};
+
+/** @returns the row name of a lease. */
+std::string leaseRowName(const std::string &lease);
+
+boost::json::object toValue(const LeaseRow &row);
+
+LeaseRow parseLeaseRow(const boost::json::object &value);
+
+} // namespace chervilmount::sharedstate
--- /dev/null
+++ b/packages/sharedstate/lease/leasestate.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "sharedstate/lease/leaserow.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chervilmount::sharedstate {
+
+/** Times of the lease mechanism. */
+struct LeaseSettings
+{
+    /** T: a holder without promises has its right this long after a renewal. */
+    std::chrono::milliseconds m_leaseTime{10000};
+    std::chrono::milliseconds m_renewalInterval{3000};
+    /** A promise is valid this long after the request for it was sent. */
+    std::chrono::milliseconds m_promiseTime{3000};
+    /** Promises are asked for when the last renewal is older than this. */
+    std::chrono::milliseconds m_promiseAfter{4500};
+    std::chrono::milliseconds m_promiseInterval{1000};
+    /** M: promises extend a holder's right at most this long after its last renewal. */
+    std::chrono::milliseconds m_longestOutage{1800000};
+    /** How often a named successor reads the row. */
+    std::chrono::milliseconds m_successorReadInterval{1000};
+    /** How often another candidate reads the row. */
+    std::chrono::milliseconds m_candidateReadInterval{5000};
+    /** Pause before a write without a known result is sent again. */
+    std::chrono::milliseconds m_writeRetryInterval{1000};
+    std::chrono::milliseconds m_storeTimeout{1000};
+    /** A holder without a store response for this long does not reach the store. */
+    std::chrono::milliseconds m_storeAwayTime{5000};
+    /**
+     * A successor with a store response within this time reaches the store. It is shorter than
+     * m_storeAwayTime - m_renewalInterval, so that in an outage that hits all nodes no successor
+     * claims to reach the store by the time that a holder asks.
+     */
+    std::chrono::milliseconds m_storeReachedTime{1500};
+    /** Share of each period that covers differences of clock rates; machines differ by 0.05 %. */
+    double m_clockMargin = 0.01;
+};
+
+/** A write of the row whose effect is not known yet. */
+struct LeaseWrite
+{
+    LeaseRow m_row;
+    /** Time before the first request with this row was sent. */
+    std::chrono::steady_clock::time_point m_firstSent;
+    /** Requests that may still apply; the same row may be sent several times. */
+    std::map<std::uint64_t, std::chrono::steady_clock::time_point> m_requests;
+    /** A request had no response, so the row may appear until the revision moves on. */
+    bool m_unknown = false;
+};
+
+/** What a holder knows of a successor. */
+struct SuccessorPromise
+{
+    std::chrono::steady_clock::time_point m_until;
+    bool m_reachesStore = false;
+};
+
+/** One lease at one node. */
+struct LeaseState
+{
+    LeaseSettings m_settings;
+    std::string m_name;
+    NodeReference m_self;
+    /** Set by the node from its member table: whether it may take the lease. */
+    bool m_candidate = false;
+    /** Set by the node from its member table: up to 2 other serving nodes, best first. */
+    std::vector<NodeReference> m_preferredSuccessors;
+    bool m_leaving = false;
+
+    std::uint64_t m_nextRequest = 1;
+    /** The newest row that was read or written; absent before the first read or if no row exists.
+     */
+    std::optional<LeaseRow> m_row;
+    /** Revision of m_row; 0 if no row exists. */
+    std::uint64_t m_revision = 0;
+    /** Whether the store has responded to a read or write at all. */
+    bool m_observed = false;
+    /** When the present row was first received. */
+    std::chrono::steady_clock::time_point m_firstSeen;
+    std::chrono::steady_clock::time_point m_lastStoreContact;
+    std::chrono::steady_clock::time_point m_nextRead;
+    std::uint64_t m_readRequest = 0;
+    std::optional<LeaseWrite> m_write;
+    std::chrono::steady_clock::time_point m_nextWrite;
+
+    bool m_holding = false;
+    /** Time before the last successful renewal was sent. */
+    std::chrono::steady_clock::time_point m_rightBase;
+    std::map<NodeReference, SuccessorPromise> m_promises;
+    /** When each open promise request was sent. */
+    std::map<std::uint64_t, std::chrono::steady_clock::time_point> m_promiseRequests;
+    std::chrono::steady_clock::time_point m_nextPromiseRequest;
+
+    /** End of this node's last promise as a successor. */
+    std::chrono::steady_clock::time_point m_promisedUntil;
+};
+
+} // namespace chervilmount::sharedstate
--- a/packages/sharedstate/sharedstate.h
+++ b/packages/sharedstate/sharedstate.h
@@ -10,5 +10,6 @@
 
 #include "sharedstate/claims/claimrelay.h"
 #include "sharedstate/claims/claimstep.h"
+#include "sharedstate/lease/leasestep.h"
 #include "sharedstate/store/storeoperation.h"
 #include "sharedstate/store/storeresult.h"
--- a/tests/sharedstate/simulation/world.cpp
+++ b/tests/sharedstate/simulation/world.cpp
@@ -39,6 +39,12 @@
     return TimePoint(found.m_clockOffset + Nanoseconds(static_cast<std::int64_t>(elapsed)));
 }
 
+bool World::runs(int node) const
+{
+    const SimulatedNode &found = m_nodes[static_cast<std::size_t>(node)];
+    return found.m_up && found.m_pausedUntil <= m_now;
+}
+
 bool World::chance(double probability)
 {
     return std::generate_canonical<double, 32>(m_random) < probability;
--- a/tests/sharedstate/simulation/world.h
+++ b/tests/sharedstate/simulation/world.h
@@ -50,6 +50,8 @@
     TimePoint localTime(int node) const;
     std::mt19937_64 &random() { return m_random; }
     SimulatedNode &node(int number) { return m_nodes[static_cast<std::size_t>(number)]; }
+    /** @returns whether the process runs and is not paused. */
+    bool runs(int node) const;
     int nodeCount() const { return static_cast<int>(m_nodes.size()); }
     NetworkQuality &network() { return m_network; }
 
