Add the membership package with rings, failure detection and reconciliation

Cause: every node needs a table of all nodes without a second coordination service (design, section 3).

Change: a core package without input or output. step() takes an event and the present time and returns messages, store operations and changes as values. It covers heartbeats with link clock fields, agreement of observers, refutation, flooding, bridges with one event per failure domain, digests, seeds and bootstrap, graceful leave, address reuse and expiry. floodstream.h floods items of other packages once, drops duplicates and fetches gaps.

--- /dev/null
+++ b/packages/membership/step/membershipsettings.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "membership/member/nodeid.h"
+#include "membership/ring/bridgeset.h"
+
+#include <chrono>
+#include <cstddef>
+#include <vector>
+
+namespace chervilmount::membership {
+
+/** Rules that a test can switch off, to show that its checker notices. Never set elsewhere. */
+enum class DisabledRule {
+    None,
+    Refutation,
+    Forwarding,
+    Reconciliation,
+    VersionOrder,
+};
+
+/** Settings of the membership protocol; the defaults are those of the design. */
+struct MembershipSettings
+{
+    /** Peers asked at the start, before or without the store. */
+    std::vector<NodeId> m_peers;
+    std::chrono::milliseconds m_heartbeatInterval{1000};
+    /** Silence after which an observer reports a neighbour as suspect. */
+    std::chrono::milliseconds m_suspectAfter{4000};
+    /** Observers that must agree before a suspect is failed at once. */
+    std::size_t m_observersToFail = 3;
+    /** Time after which fewer observers suffice. @see detection/suspicion.h */
+    std::chrono::milliseconds m_agreementTime{8000};
+    /** Time for which a node that hears nobody waits before it takes a decision alone. */
+    std::chrono::milliseconds m_isolatedWait{30000};
+    /** Retention of left and failed records. */
+    std::chrono::seconds m_retention{600};
+    /** Changes are collected for this long after a flush, so that bursts travel together. */
+    std::chrono::milliseconds m_flushInterval{50};
+    /** Interval at which one random failed member of the own domain is tried again. */
+    std::chrono::milliseconds m_retryFailedInterval{5000};
+    /** Interval of the check for seeds and peers that are not in the table. */
+    std::chrono::milliseconds m_seedCheckInterval{30000};
+    /** Links of one bridge to the bridges of each other failure domain, 1 to BridgesPerDomain. */
+    std::size_t m_bridgeLinks = BridgesPerDomain;
+    DisabledRule m_disabledRule = DisabledRule::None;
+};
+
+} // namespace chervilmount::membership
