Rely on fresh thresholds only and check the callees' thresholds before work

Cause: the threshold of a service was the highest over its candidates, and a candidate that is never contacted counted as admitting everything; routes with little demand got no confirmation, so their thresholds decayed while the callee was still overloaded. The model also read the threshold under another route number than it was stored, which hid the threshold of the bundler route.

Change: only thresholds confirmed within 1 s count; a route without a probe for 250 ms sends one; the node beside a backend server checks the thresholds of the services it calls before any work.

--- a/benchmarks/overload/callers.cpp
+++ b/benchmarks/overload/callers.cpp
@@ -144,10 +144,9 @@
     request.m_rank = rankFor(simulation, number);
     const int service = simulation.m_deployment.m_kinds[original.m_kind].m_service;
     if (simulation.m_variant.m_entryThreshold) {
-        const overload::Rank threshold =
-                routing::serviceThreshold(simulation.m_nodes[request.m_entry].m_candidates[service],
-                                          original.m_kind, simulation.m_now);
-        if (!overload::decideEntry(request.m_rank, threshold, simulation.m_decisionRandom)
+        if (!routing::decideSend(simulation.m_nodes[request.m_entry].m_candidates[service],
+                                 original.m_kind + 1U, request.m_rank, simulation.m_now,
+                                 simulation.m_decisionRandom)
                      .m_sendOn) {
             endRequest(simulation, number, false);
             return;
--- a/benchmarks/overload/simulationservers.cpp
+++ b/benchmarks/overload/simulationservers.cpp
@@ -58,6 +58,19 @@
     return lowest;
 }
 
+bool calleesAdmit(Simulation &simulation, int number, overload::Rank rank)
+{
+    Node &node = simulation.m_nodes[FailureDomains + number];
+    const int service = simulation.m_servers[number].m_service;
+    for (const int callee : simulation.m_deployment.m_services[service].m_calls) {
+        if (!routing::decideSend(node.m_candidates[callee], 0, rank, simulation.m_now,
+                                 simulation.m_decisionRandom)
+                     .m_sendOn)
+            return false;
+    }
+    return true;
+}
+
 void leaveServer(Simulation &simulation, std::uint32_t number)
 {
     Attempt &attempt = simulation.m_attempts[number];
@@ -205,6 +218,12 @@
         return;
     }
     const Request &request = simulation.m_requests[simulation.m_calls[attempt.m_call].m_request];
+    if (simulation.m_variant.m_calleeThreshold
+        && !calleesAdmit(simulation, attempt.m_server, request.m_rank)) {
+        leaveServer(simulation, number);
+        respond(simulation, number, Outcome::NotRun);
+        return;
+    }
     overload::ArrivingCall arriving;
     arriving.m_call = number;
     arriving.m_organisation = simulation.m_variant.m_roundRobinOrganisations
--- a/benchmarks/overload/variants.cpp
+++ b/benchmarks/overload/variants.cpp
@@ -62,6 +62,7 @@
             without("sojourn bound", &Variant::m_sojournBound),
             without("deadline refusal", &Variant::m_deadlineRefusal),
             without("threshold at the entry", &Variant::m_entryThreshold),
+            without("threshold of the callees", &Variant::m_calleeThreshold),
             without("threshold at the server", &Variant::m_ownThreshold),
             without("carried load", &Variant::m_carriedLoad),
             without("outlier ejection", &Variant::m_outliers),
--- a/benchmarks/overload/variants.h
+++ b/benchmarks/overload/variants.h
@@ -27,6 +27,8 @@
     bool m_sojournBound = true;
     bool m_deadlineRefusal = true;
     bool m_entryThreshold = true;
+    /** Off: the node beside a backend server does not look at the thresholds of the callees. */
+    bool m_calleeThreshold = true;
     bool m_ownThreshold = true;
     bool m_carriedLoad = true;
     bool m_outliers = true;
--- a/packages/overload/threshold/carriedthreshold.cpp
+++ b/packages/overload/threshold/carriedthreshold.cpp
@@ -4,7 +4,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds DecayStep{1};
 constexpr std::int64_t StepsUntilOpen = 5;
 
 } // namespace
@@ -20,7 +19,7 @@
 {
     if (threshold.m_rank >= HighestRank)
         return HighestRank;
-    const std::int64_t steps = (now - threshold.m_confirmedAt) / DecayStep;
+    const std::int64_t steps = (now - threshold.m_confirmedAt) / ThresholdLifetime;
     if (steps <= 0)
         return threshold.m_rank;
     if (steps >= StepsUntilOpen)
@@ -29,14 +28,23 @@
     return static_cast<Rank>(HighestRank - (distance >> steps));
 }
 
-EntryDecision decideEntry(Rank rank, Rank threshold, std::mt19937_64 &random)
+bool isFresh(const CarriedThreshold &threshold, std::chrono::steady_clock::time_point now)
+{
+    return now - threshold.m_confirmedAt < ThresholdLifetime;
+}
+
+ThresholdDecision decideByThreshold(Rank rank, Rank threshold,
+                                    std::chrono::steady_clock::time_point &lastProbe,
+                                    std::chrono::steady_clock::time_point now,
+                                    std::mt19937_64 &random)
 {
     if (rank <= threshold)
         return {true, Reason::BelowThreshold};
     std::bernoulli_distribution probe(ProbeFraction);
-    if (probe(random))
-        return {true, Reason::Probe};
-    return {false, Reason::AboveThreshold};
+    if (now - lastProbe < ProbeInterval && !probe(random))
+        return {false, Reason::AboveThreshold};
+    lastProbe = now;
+    return {true, Reason::Probe};
 }
 
 } // namespace chervilmount::overload
--- a/packages/overload/threshold/carriedthreshold.h
+++ b/packages/overload/threshold/carriedthreshold.h
@@ -8,9 +8,18 @@
 
 namespace chervilmount::overload {
 
-/** Share of the requests above the threshold that the entry sends on as probes. */
+/** Share of the requests above the threshold that are sent on as probes. */
 constexpr double ProbeFraction = 0.01;
 
+/**
+ * A request above the threshold is also a probe if there was none for this time. On a route with
+ * little demand 1 % is too rare to notice within 2 s that the subtree admits again.
+ */
+constexpr std::chrono::milliseconds ProbeInterval{250};
+
+/** A threshold that was not confirmed for this time is no longer relied upon. */
+constexpr std::chrono::seconds ThresholdLifetime{1};
+
 /** Admission threshold that came back with responses of a subtree. */
 struct CarriedThreshold
 {
@@ -30,14 +39,23 @@
  */
 Rank thresholdNow(const CarriedThreshold &threshold, std::chrono::steady_clock::time_point now);
 
-/** What the entry does with a request. */
-struct EntryDecision
+/** @returns whether a response has confirmed the value within ThresholdLifetime. */
+bool isFresh(const CarriedThreshold &threshold, std::chrono::steady_clock::time_point now);
+
+/** What happens to a request at a threshold. */
+struct ThresholdDecision
 {
     bool m_sendOn = true;
     Reason m_reason = Reason::BelowThreshold;
 };
 
-/** Decides at the entry: sends on up to the threshold, and ProbeFraction of the rest as probes. */
-EntryDecision decideEntry(Rank rank, Rank threshold, std::mt19937_64 &random);
+/**
+ * Sends requests on up to the threshold, and of the rest only probes.
+ * @param lastProbe when the last probe for this service and route was sent; updated.
+ */
+ThresholdDecision decideByThreshold(Rank rank, Rank threshold,
+                                    std::chrono::steady_clock::time_point &lastProbe,
+                                    std::chrono::steady_clock::time_point now,
+                                    std::mt19937_64 &random);
 
 } // namespace chervilmount::overload
--- a/packages/routing/choice/candidate.cpp
+++ b/packages/routing/choice/candidate.cpp
@@ -37,14 +37,35 @@
                                 std::chrono::steady_clock::time_point now)
 {
     bool known = false;
+    bool fresh = false;
     overload::Rank highest = 0;
+    overload::Rank highestFresh = 0;
     for (const Candidate &candidate : candidates.m_candidates) {
         if (candidate.m_member.m_excluded || isEjected(candidate.m_outlier, now))
             continue;
         known = true;
-        highest = std::max(highest, candidateThreshold(candidate, route, now));
+        const overload::Rank threshold = candidateThreshold(candidate, route, now);
+        highest = std::max(highest, threshold);
+        if (route < candidate.m_thresholds.size()
+            && overload::isFresh(candidate.m_thresholds[route], now)) {
+            fresh = true;
+            highestFresh = std::max(highestFresh, threshold);
+        }
     }
+    if (fresh)
+        return highestFresh;
     return known ? highest : overload::HighestRank;
 }
 
+overload::ThresholdDecision decideSend(ServiceCandidates &candidates, overload::NameNumber route,
+                                       overload::Rank rank,
+                                       std::chrono::steady_clock::time_point now,
+                                       std::mt19937_64 &random)
+{
+    if (route >= candidates.m_lastProbes.size())
+        candidates.m_lastProbes.resize(route + 1);
+    return overload::decideByThreshold(rank, serviceThreshold(candidates, route, now),
+                                       candidates.m_lastProbes[route], now, random);
+}
+
 } // namespace chervilmount::routing
--- a/packages/routing/choice/candidate.h
+++ b/packages/routing/choice/candidate.h
@@ -57,6 +57,8 @@
 {
     /** Ordered by place. */
     std::vector<Candidate> m_candidates;
+    /** When the last probe above the threshold was sent, indexed by the route's number. */
+    std::vector<std::chrono::steady_clock::time_point> m_lastProbes;
 };
 
 /** @returns the weight in the draw: grows from the first weight to 1 during the slow start. */
@@ -72,10 +74,20 @@
                                   std::chrono::steady_clock::time_point now);
 
 /**
- * Threshold of the service for a route: the highest among the candidates that can be chosen, so
- * that a request is shed at the entry only if no backend server would admit it.
+ * Threshold of the service for a route: the highest among the candidates that can be chosen and
+ * have confirmed theirs lately, so that a request is shed only if no backend server that is known
+ * to admit it is left. Without any fresh value, the highest of the aged ones.
  */
 overload::Rank serviceThreshold(const ServiceCandidates &candidates, overload::NameNumber route,
                                 std::chrono::steady_clock::time_point now);
 
+/**
+ * Decides whether a request goes on to the service: at the entry, and at the node beside a backend
+ * server for each service that the backend server calls, before any work is done.
+ */
+overload::ThresholdDecision decideSend(ServiceCandidates &candidates, overload::NameNumber route,
+                                       overload::Rank rank,
+                                       std::chrono::steady_clock::time_point now,
+                                       std::mt19937_64 &random);
+
 } // namespace chervilmount::routing
--- a/tests/overload/admission_test.cpp
+++ b/tests/overload/admission_test.cpp
@@ -210,12 +210,18 @@
 TEST_CASE("The entry sends about 1 % of the requests above the threshold as probes")
 {
     std::mt19937_64 random(3);
+    std::chrono::steady_clock::time_point lastProbe = Start;
     int probes = 0;
     for (int request = 0; request < 100000; ++request)
-        probes += decideEntry(2000, 1000, random).m_sendOn ? 1 : 0;
+        probes += decideByThreshold(2000, 1000, lastProbe, Start, random).m_sendOn ? 1 : 0;
     CHECK(probes > 800);
     CHECK(probes < 1200);
-    CHECK(decideEntry(1000, 1000, random).m_reason == Reason::BelowThreshold);
+    CHECK(decideByThreshold(1000, 1000, lastProbe, Start, random).m_reason
+          == Reason::BelowThreshold);
+    // With little demand there is still a probe every 250 ms.
+    CHECK(decideByThreshold(2000, 1000, lastProbe, Start + 250ms, random).m_reason
+          == Reason::Probe);
+    CHECK(lastProbe == Start + 250ms);
 }
 
 // Guards against a threshold that sheds when there is no overload, or does not shed in overload.
