Let the sojourn bound grow with the time between departures

Cause: while the deep service is slow, a slot becomes free every 20 ms per backend server, so the 5 ms target refused nearly every call that had to wait, important ones included.

Change: the target is at least the time in which 4 slots become free, the interval twice that.

--- a/packages/overload/admission/admission.cpp
+++ b/packages/overload/admission/admission.cpp
@@ -2,6 +2,8 @@
 
 #include "overload/deadline/deadline.h"
 
+#include <algorithm>
+
 namespace chervilmount::overload {
 
 namespace {
@@ -58,9 +60,15 @@
 {
     if (admission.m_queue.m_size == 0)
         return;
+    const std::chrono::nanoseconds departures =
+            fromSeconds(admission.m_settings.m_departuresWaited * admission.m_averageSlotTime
+                        / limitNow(admission.m_limit));
+    const std::chrono::nanoseconds target =
+            std::max(admission.m_settings.m_sojournTarget, departures);
+    const std::chrono::nanoseconds interval =
+            std::max(admission.m_settings.m_sojournInterval, 2 * target);
     std::vector<QueuedCall> expired;
-    removeExpired(admission.m_queue, admission.m_settings.m_sojournTarget,
-                  admission.m_settings.m_sojournInterval, now, expired);
+    removeExpired(admission.m_queue, target, interval, now, expired);
     for (const QueuedCall &queued : expired) {
         effects.m_refused.push_back({queued.m_call, Reason::SojournExceeded});
         recordOverloadRefusal(admission.m_threshold);
--- a/packages/overload/admission/admission.h
+++ b/packages/overload/admission/admission.h
@@ -14,8 +14,12 @@
 struct AdmissionSettings
 {
     LimitSettings m_limit;
-    /** Longest wait of a class whose queue has stood for the interval. */
+    /** Longest wait of a class whose queue has stood for the interval; at least the time in which
+     * m_departuresWaited slots become free. */
     std::chrono::nanoseconds m_sojournTarget = std::chrono::milliseconds{5};
+    /** A slow backend server frees a slot less often than every 5 ms; without this floor nearly
+     * every call that waits for it would be refused while slots become free. */
+    double m_departuresWaited = 4.0;
     /** Longest wait of a class whose queue does not stand. */
     std::chrono::nanoseconds m_sojournInterval = std::chrono::milliseconds{100};
     /** Bound of the queue's memory; the sojourn bound normally keeps the queue far below it. */
