Set the own threshold from limit over slot time instead of counted starts

Cause: a window of 100 ms has about five starts while the deep service is slow, so the threshold followed chance, and demand above the threshold was forgotten until a whole class was let in at once.

Change: the capacity is the limit over the average slot time; a slow feedback (fill 0.9 to 1.3) follows the refusals by the queue; the threshold rises by 1, 2, 4... buckets per window without overload; buckets are 4 ranks.

--- a/packages/overload/admission/admission.cpp
+++ b/packages/overload/admission/admission.cpp
@@ -24,6 +24,14 @@
     return admission.m_inFlight < limitNow(admission.m_limit);
 }
 
+/** Calls a second that the limit allows at the present slot time; 0 while unknown. */
+double capacityNow(const Admission &admission)
+{
+    return admission.m_averageSlotTime > 0.0
+            ? limitNow(admission.m_limit) / admission.m_averageSlotTime
+            : 0.0;
+}
+
 void recordSlotTime(Admission &admission, std::chrono::nanoseconds slotTime)
 {
     const double seconds = std::chrono::duration<double>(slotTime).count();
@@ -50,7 +58,6 @@
             continue;
         }
         ++admission.m_inFlight;
-        recordStart(admission.m_threshold);
         effects.m_started.push_back(next->m_call);
     }
 }
@@ -119,7 +126,7 @@
 {
     if (admission.m_leaving)
         return {Verdict::Refuse, Reason::Leaving};
-    updateThreshold(admission.m_threshold, now);
+    updateThreshold(admission.m_threshold, capacityNow(admission), now);
     recordArrival(admission.m_threshold, arriving.m_rank);
     if (admission.m_queue.m_size > 0 || !hasFreeSlot(admission))
         return waitForSlot(admission, arriving, now, effects);
@@ -127,7 +134,6 @@
                          arriving.m_deadline, now))
         return {Verdict::Refuse, Reason::DeadlineTooShort};
     ++admission.m_inFlight;
-    recordStart(admission.m_threshold);
     admission.m_queue.m_classes[classOf(arriving.m_rank)].m_lastEmpty = now;
     return {Verdict::Start, Reason::SlotFree};
 }
@@ -155,7 +161,7 @@
 {
     refuseExpired(admission, now, effects);
     startWaiting(admission, now, effects);
-    updateThreshold(admission.m_threshold, now);
+    updateThreshold(admission.m_threshold, capacityNow(admission), now);
 }
 
 std::chrono::nanoseconds expectedWait(const Admission &admission, Rank rank)
--- a/packages/overload/threshold/ownthreshold.cpp
+++ b/packages/overload/threshold/ownthreshold.cpp
@@ -1,97 +1,97 @@
 #include "overload/threshold/ownthreshold.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace chervilmount::overload {
 
 namespace {
 
 /** Refusals below this share of the arrivals do not count as overload. */
-constexpr double RefusedTolerance = 0.01;
-/** Weight of the newest window in the averages. */
-constexpr double DemandWeight = 0.3;
-constexpr double CapacityWeight = 0.5;
+constexpr double RefusedTolerance = 0.05;
+/** Weight of the newest window in the demand. */
+constexpr float DemandWeight = 0.3F;
 /** Demand above the threshold is hardly seen; its estimate halves in about 2 s. */
-constexpr double UnseenDemandDecay = 0.97;
-constexpr double SmallestGrowth = 0.02;
-constexpr double LargestGrowth = 0.3;
+constexpr float UnseenDemandDecay = 0.97F;
+/** The fill moves slowly, so that it averages over the chance of many windows. */
+constexpr double FillUp = 0.02;
+constexpr double FillDown = 0.02;
+constexpr double SmallestFill = 0.9;
+constexpr double LargestFill = 1.3;
 
-void updateDemand(OwnThreshold &threshold)
+void updateDemand(OwnThreshold &threshold, double seconds)
 {
     const int admittedBuckets = threshold.m_rank / RanksPerBucket;
     for (int bucket = 0; bucket < RankBuckets; ++bucket) {
-        const float seen = static_cast<float>(threshold.m_arrivals[bucket]);
+        const float seen =
+                static_cast<float>(threshold.m_arrivals[bucket]) / static_cast<float>(seconds);
         float &demand = threshold.m_demand[bucket];
         if (bucket <= admittedBuckets)
-            demand += static_cast<float>(DemandWeight) * (seen - demand);
+            demand += DemandWeight * (seen - demand);
         else
-            demand = std::max(seen, demand * static_cast<float>(UnseenDemandDecay));
+            demand *= UnseenDemandDecay;
     }
 }
 
-void updateCapacity(OwnThreshold &threshold, bool overloaded)
-{
-    if (overloaded) {
-        threshold.m_growth = 0.0;
-        threshold.m_capacity += CapacityWeight * (threshold.m_started - threshold.m_capacity);
-        return;
-    }
-    threshold.m_growth = std::clamp(threshold.m_growth * 2.0, SmallestGrowth, LargestGrowth);
-    threshold.m_capacity = std::max<double>(threshold.m_capacity, threshold.m_started)
-            * (1.0 + threshold.m_growth);
-}
-
-Rank highestFittingRank(const OwnThreshold &threshold)
+int fittingBuckets(const OwnThreshold &threshold, double capacity)
 {
     double sum = 0.0;
     for (int bucket = 0; bucket < RankBuckets; ++bucket) {
         sum += threshold.m_demand[bucket];
-        // The most important bucket is always admitted, so that the threshold can rise again.
-        if (sum > threshold.m_capacity + 1.0)
-            return static_cast<Rank>(std::max(bucket, 1) * RanksPerBucket - 1);
+        if (sum > capacity)
+            return bucket;
     }
-    return HighestRank;
+    return RankBuckets;
+}
+
+void resetWindow(OwnThreshold &threshold, std::chrono::steady_clock::time_point now)
+{
+    threshold.m_arrivals.fill(0);
+    threshold.m_arrived = 0;
+    threshold.m_refused = 0;
+    threshold.m_windowStart = now;
 }
 
 } // namespace
 
 void recordArrival(OwnThreshold &threshold, Rank rank)
 {
-    ++threshold.m_arrivals[std::min<int>(rank, HighestRank) / RanksPerBucket];
+    std::uint16_t &count = threshold.m_arrivals[std::min<int>(rank, HighestRank) / RanksPerBucket];
+    if (count < std::numeric_limits<std::uint16_t>::max())
+        ++count;
     ++threshold.m_arrived;
 }
 
-void recordStart(OwnThreshold &threshold)
-{
-    ++threshold.m_started;
-}
-
 void recordOverloadRefusal(OwnThreshold &threshold)
 {
     ++threshold.m_refused;
 }
 
-void updateThreshold(OwnThreshold &threshold, std::chrono::steady_clock::time_point now)
+void updateThreshold(OwnThreshold &threshold, double capacity,
+                     std::chrono::steady_clock::time_point now)
 {
     if (threshold.m_windowStart == std::chrono::steady_clock::time_point{})
         threshold.m_windowStart = now;
-    if (now - threshold.m_windowStart < ThresholdWindow)
+    const std::chrono::nanoseconds elapsed = now - threshold.m_windowStart;
+    if (elapsed < ThresholdWindow)
         return;
     const bool overloaded = threshold.m_refused > RefusedTolerance * threshold.m_arrived;
-    if (overloaded || threshold.m_rank < HighestRank) {
-        updateDemand(threshold);
-        updateCapacity(threshold, overloaded);
-        threshold.m_rank = highestFittingRank(threshold);
+    updateDemand(threshold, std::chrono::duration<double>(elapsed).count());
+    if (capacity > 0.0 && (overloaded || threshold.m_rank < HighestRank)) {
+        threshold.m_fill = std::clamp(threshold.m_fill + (overloaded ? -FillDown : FillUp),
+                                      SmallestFill, LargestFill);
+        threshold.m_rise = overloaded ? 1 : std::min(2 * threshold.m_rise, RankBuckets);
+        const int present = (threshold.m_rank + 1) / RanksPerBucket;
+        const int buckets = std::min(fittingBuckets(threshold, capacity * threshold.m_fill),
+                                     present + threshold.m_rise);
+        // The most important bucket is always admitted, so that the threshold can rise again.
+        threshold.m_rank =
+                static_cast<Rank>(std::clamp(buckets, 1, RankBuckets) * RanksPerBucket - 1);
     } else {
-        updateDemand(threshold);
-        threshold.m_capacity = threshold.m_started;
-        threshold.m_growth = 0.0;
+        threshold.m_fill = 1.0;
+        threshold.m_rise = 1;
     }
-    threshold.m_arrivals.fill(0);
-    threshold.m_arrived = 0;
-    threshold.m_started = 0;
-    threshold.m_refused = 0;
-    threshold.m_windowStart = now;
+    resetWindow(threshold, now);
 }
 
 } // namespace chervilmount::overload
--- a/tests/overload/admission_test.cpp
+++ b/tests/overload/admission_test.cpp
@@ -230,26 +230,23 @@
     OwnThreshold threshold;
     std::mt19937_64 random(5);
     std::chrono::steady_clock::time_point now = Start;
-    updateThreshold(threshold, now);
+    const double capacity = 1000.0;
+    updateThreshold(threshold, capacity, now);
     for (int window = 0; window < 50; ++window) {
         for (int call = 0; call < 300; ++call) {
             const Rank rank = static_cast<Rank>(random() % RanksPerClass);
             recordArrival(threshold, rank);
-            if (call < 100)
-                recordStart(threshold);
-            else if (rank <= threshold.m_rank)
+            if (call >= 100 && rank <= threshold.m_rank)
                 recordOverloadRefusal(threshold);
         }
-        updateThreshold(threshold, now += 100ms);
+        updateThreshold(threshold, capacity, now += 100ms);
     }
     CHECK(threshold.m_rank > 50);
     CHECK(threshold.m_rank < 128);
     for (int window = 0; window < 20; ++window) {
-        for (int call = 0; call < 80; ++call) {
+        for (int call = 0; call < 80; ++call)
             recordArrival(threshold, static_cast<Rank>(random() % RanksPerClass));
-            recordStart(threshold);
-        }
-        updateThreshold(threshold, now += 100ms);
+        updateThreshold(threshold, capacity, now += 100ms);
     }
     CHECK(threshold.m_rank == HighestRank);
 }
