Try an ejected backend server with one call at a time

Cause: after an ejection the whole share went to a hanging backend server until the next call timed out; and with ejections doubling to 30 s a recovered one stayed unused for up to 16 s. A hanging server also kept its old slot time, so its capacity was overestimated.

Change: one call at a time until one succeeds; longest ejection 2 s; the average slot time doubles while all slots are busy and less than a quarter of the expected calls end.

--- a/packages/overload/admission/admission.cpp
+++ b/packages/overload/admission/admission.cpp
@@ -13,6 +13,10 @@
 /** The low percentile moves by this share per call, in the ratio of the percentile. */
 constexpr double PercentileStep = 0.05;
 constexpr double LowPercentile = 0.1;
+/** Departures are compared once this many are expected, so that chance rarely looks like a fault.
+ */
+constexpr double ExpectedDepartures = 12.0;
+constexpr double MissingShare = 0.25;
 
 std::chrono::nanoseconds fromSeconds(double seconds)
 {
@@ -46,6 +50,23 @@
                                                                  : -(1.0 - LowPercentile) * step;
 }
 
+/**
+ * Doubles the average slot time while all slots are in use and far fewer calls end than it lets
+ * expect: a backend server that has become slow or hangs shows this before its calls end.
+ */
+void noticeMissingDepartures(Admission &admission, std::chrono::steady_clock::time_point now)
+{
+    const double expected = capacityNow(admission)
+            * std::chrono::duration<double>(now - admission.m_departuresFrom).count();
+    const bool allBusy = !hasFreeSlot(admission);
+    if (allBusy && expected < ExpectedDepartures)
+        return;
+    if (allBusy && admission.m_departures < MissingShare * expected)
+        admission.m_averageSlotTime *= 2.0;
+    admission.m_departures = 0;
+    admission.m_departuresFrom = now;
+}
+
 void startWaiting(Admission &admission, std::chrono::steady_clock::time_point now,
                   AdmissionEffects &effects)
 {
@@ -145,6 +166,7 @@
     recordResult(admission.m_limit, admission.m_settings.m_limit, result, ownLatency,
                  admission.m_inFlight, now);
     --admission.m_inFlight;
+    ++admission.m_departures;
     if (result == CallResult::Success)
         recordSlotTime(admission, slotTime);
     refuseExpired(admission, now, effects);
@@ -159,6 +181,7 @@
 void tick(Admission &admission, std::chrono::steady_clock::time_point now,
           AdmissionEffects &effects)
 {
+    noticeMissingDepartures(admission, now);
     refuseExpired(admission, now, effects);
     startWaiting(admission, now, effects);
     updateThreshold(admission.m_threshold, capacityNow(admission), now);
--- a/packages/overload/admission/admission.h
+++ b/packages/overload/admission/admission.h
@@ -41,6 +41,9 @@
     double m_averageSlotTime = 0.0;
     /** Estimate of the 10th percentile of the same, in seconds; 0 until known. */
     double m_lowSlotTime = 0.0;
+    /** Calls that ended since m_departuresFrom. */
+    int m_departures = 0;
+    std::chrono::steady_clock::time_point m_departuresFrom;
     bool m_leaving = false;
 };
 
--- a/packages/routing/choice/choice.cpp
+++ b/packages/routing/choice/choice.cpp
@@ -23,7 +23,9 @@
                  const ChoiceRequest &request, std::chrono::steady_clock::time_point now)
 {
     const Candidate &candidate = candidates.m_candidates[index];
-    return !candidate.m_member.m_excluded && !isEjected(candidate.m_outlier, now)
+    // After an ejection one call at a time tries the backend server until one succeeds.
+    const bool onTrial = candidate.m_outlier.m_ejections > 0 && candidate.m_inFlight > 0;
+    return !candidate.m_member.m_excluded && !isEjected(candidate.m_outlier, now) && !onTrial
             && std::find(request.m_tried.begin(), request.m_tried.end(), index)
             == request.m_tried.end();
 }
--- a/packages/routing/outlier/outlier.h
+++ b/packages/routing/outlier/outlier.h
@@ -13,7 +13,9 @@
      */
     int m_timeoutsInRow = 2;
     std::chrono::nanoseconds m_firstEjection = std::chrono::seconds{1};
-    std::chrono::nanoseconds m_longestEjection = std::chrono::seconds{30};
+    /** With 30 s a recovered backend server stayed unused for up to 16 s. A longer ejection is not
+     * needed, since only one call at a time tries the backend server afterwards. */
+    std::chrono::nanoseconds m_longestEjection = std::chrono::seconds{2};
 };
 
 /** How an attempt ended, as far as it tells about the backend server's health. */
