Let nested calls wait, use queue delay as the signal and the median threshold

Causes: a nested call that is refused after 5 ms wastes its caller's slot time; the highest of several noisy thresholds admits too much; demand above the threshold was forgotten within 2 s; a server that had just become slow kept its old slot time; unweighted turns served small organisations in full and cut large ones.

Changes: nested calls may wait for the interval (100 ms) and calls that waited longer than the target count as the sign of overload; a service's threshold is the median of its candidates unless one does not shed; unseen demand halves in 14 s; the average slot time is at least the time since the last departure; the cost in the round robin is divided by the organisation's share.

--- a/benchmarks/overload/simulationservers.cpp
+++ b/benchmarks/overload/simulationservers.cpp
@@ -230,6 +230,11 @@
             ? simulation.m_originals[request.m_original].m_organisation + 1U
             : overload::NoOrganisation;
     arriving.m_rank = request.m_rank;
+    arriving.m_cost = static_cast<float>(
+            1.0
+            / (DemandShares[simulation.m_originals[request.m_original].m_organisation]
+               * Organisations));
+    arriving.m_nested = simulation.m_calls[attempt.m_call].m_parent != None;
     arriving.m_deadline = simulation.m_variant.m_deadlineRefusal
             ? request.m_deadline
             : simulation.m_now + std::chrono::hours{1};
--- a/packages/overload/admission/admission.cpp
+++ b/packages/overload/admission/admission.cpp
@@ -13,10 +13,6 @@
 /** The low percentile moves by this share per call, in the ratio of the percentile. */
 constexpr double PercentileStep = 0.05;
 constexpr double LowPercentile = 0.1;
-/** Departures are compared once this many are expected, so that chance rarely looks like a fault.
- */
-constexpr double ExpectedDepartures = 12.0;
-constexpr double MissingShare = 0.25;
 
 std::chrono::nanoseconds fromSeconds(double seconds)
 {
@@ -36,6 +32,14 @@
             : 0.0;
 }
 
+std::chrono::nanoseconds sojournTarget(const Admission &admission)
+{
+    const std::chrono::nanoseconds departures =
+            fromSeconds(admission.m_settings.m_departuresWaited * admission.m_averageSlotTime
+                        / limitNow(admission.m_limit));
+    return std::max(admission.m_settings.m_sojournTarget, departures);
+}
+
 void recordSlotTime(Admission &admission, std::chrono::nanoseconds slotTime)
 {
     const double seconds = std::chrono::duration<double>(slotTime).count();
@@ -51,20 +55,18 @@
 }
 
 /**
- * Doubles the average slot time while all slots are in use and far fewer calls end than it lets
- * expect: a backend server that has become slow or hangs shows this before its calls end.
+ * Raises the average slot time to the time since a call last ended, while all slots are in use: a
+ * backend server that has become slow or hangs shows this before its calls end.
  */
 void noticeMissingDepartures(Admission &admission, std::chrono::steady_clock::time_point now)
 {
-    const double expected = capacityNow(admission)
-            * std::chrono::duration<double>(now - admission.m_departuresFrom).count();
-    const bool allBusy = !hasFreeSlot(admission);
-    if (allBusy && expected < ExpectedDepartures)
+    if (hasFreeSlot(admission)) {
+        admission.m_lastDeparture = now;
         return;
-    if (allBusy && admission.m_departures < MissingShare * expected)
-        admission.m_averageSlotTime *= 2.0;
-    admission.m_departures = 0;
-    admission.m_departuresFrom = now;
+    }
+    const double missing = std::chrono::duration<double>(now - admission.m_lastDeparture).count();
+    if (admission.m_averageSlotTime > 0.0)
+        admission.m_averageSlotTime = std::max(admission.m_averageSlotTime, missing);
 }
 
 void startWaiting(Admission &admission, std::chrono::steady_clock::time_point now,
@@ -78,6 +80,8 @@
             recordOverloadRefusal(admission.m_threshold);
             continue;
         }
+        if (now - next->m_queuedAt > sojournTarget(admission))
+            recordDelay(admission.m_threshold);
         ++admission.m_inFlight;
         effects.m_started.push_back(next->m_call);
     }
@@ -88,11 +92,7 @@
 {
     if (admission.m_queue.m_size == 0)
         return;
-    const std::chrono::nanoseconds departures =
-            fromSeconds(admission.m_settings.m_departuresWaited * admission.m_averageSlotTime
-                        / limitNow(admission.m_limit));
-    const std::chrono::nanoseconds target =
-            std::max(admission.m_settings.m_sojournTarget, departures);
+    const std::chrono::nanoseconds target = sojournTarget(admission);
     const std::chrono::nanoseconds interval =
             std::max(admission.m_settings.m_sojournInterval, 2 * target);
     std::vector<QueuedCall> expired;
@@ -127,8 +127,8 @@
         recordOverloadRefusal(admission.m_threshold);
     }
     enqueue(admission.m_queue,
-            {arriving.m_call, arriving.m_organisation, arriving.m_rank, arriving.m_cost,
-             arriving.m_deadline, now});
+            {arriving.m_call, arriving.m_organisation, arriving.m_rank, arriving.m_nested,
+             arriving.m_cost, arriving.m_deadline, now});
     return {Verdict::Wait, Reason::Queued};
 }
 
@@ -166,7 +166,7 @@
     recordResult(admission.m_limit, admission.m_settings.m_limit, result, ownLatency,
                  admission.m_inFlight, now);
     --admission.m_inFlight;
-    ++admission.m_departures;
+    admission.m_lastDeparture = now;
     if (result == CallResult::Success)
         recordSlotTime(admission, slotTime);
     refuseExpired(admission, now, effects);
--- a/packages/overload/admission/admission.h
+++ b/packages/overload/admission/admission.h
@@ -41,9 +41,8 @@
     double m_averageSlotTime = 0.0;
     /** Estimate of the 10th percentile of the same, in seconds; 0 until known. */
     double m_lowSlotTime = 0.0;
-    /** Calls that ended since m_departuresFrom. */
-    int m_departures = 0;
-    std::chrono::steady_clock::time_point m_departuresFrom;
+    /** When a call last ended or a slot was last seen free. */
+    std::chrono::steady_clock::time_point m_lastDeparture;
     bool m_leaving = false;
 };
 
@@ -53,6 +52,8 @@
     CallNumber m_call = 0;
     NameNumber m_organisation = NoOrganisation;
     Rank m_rank = 0;
+    /** The call was sent by a backend server, which holds a slot meanwhile. */
+    bool m_nested = false;
     float m_cost = 1.0F;
     std::chrono::steady_clock::time_point m_deadline;
 };
--- a/packages/overload/admission/admissionqueue.cpp
+++ b/packages/overload/admission/admissionqueue.cpp
@@ -174,9 +174,18 @@
         ClassQueue &classQueue = queue.m_classes[std::countr_zero(left)];
         const std::chrono::nanoseconds bound = sojournBound(classQueue, target, interval, now);
         for (OrganisationQueue &organisation : classQueue.m_organisations) {
-            while (organisation.m_first != NoIndex
-                   && now - queue.m_entries[organisation.m_first].m_queued.m_queuedAt > bound)
-                expired.push_back(takeOut(queue, organisation.m_first));
+            std::uint32_t index = organisation.m_first;
+            while (index != NoIndex) {
+                const QueueEntry &entry = queue.m_entries[index];
+                const std::uint32_t next = entry.m_next;
+                const std::chrono::nanoseconds waited = now - entry.m_queued.m_queuedAt;
+                // The calls are in the order of arrival, so no later one has waited longer.
+                if (waited <= target)
+                    break;
+                if (waited > (entry.m_queued.m_nested ? interval : bound))
+                    expired.push_back(takeOut(queue, index));
+                index = next;
+            }
         }
     }
 }
--- a/packages/overload/admission/admissionqueue.h
+++ b/packages/overload/admission/admissionqueue.h
@@ -21,7 +21,11 @@
     CallNumber m_call = 0;
     NameNumber m_organisation = NoOrganisation;
     Rank m_rank = 0;
-    /** Expected use of a slot relative to the service's average; weighs in the round robin. */
+    /** The caller holds a slot of another backend server meanwhile; refusing would waste its work.
+     */
+    bool m_nested = false;
+    /** Expected use of a slot relative to the service's average, over the organisation's rate
+     * relative to the average rate; weighs in the round robin. */
     float m_cost = 1.0F;
     std::chrono::steady_clock::time_point m_deadline;
     std::chrono::steady_clock::time_point m_queuedAt;
@@ -88,7 +92,10 @@
  */
 std::optional<QueuedCall> removeLeastImportant(AdmissionQueue &queue, Rank rank);
 
-/** Takes out every call that has waited longer than its class allows, and appends it to expired. */
+/**
+ * Takes out every call that has waited longer than its class allows, and appends it to expired.
+ * Nested calls may always wait for the interval.
+ */
 void removeExpired(AdmissionQueue &queue, std::chrono::nanoseconds target,
                    std::chrono::nanoseconds interval, std::chrono::steady_clock::time_point now,
                    std::vector<QueuedCall> &expired);
--- a/packages/overload/threshold/ownthreshold.cpp
+++ b/packages/overload/threshold/ownthreshold.cpp
@@ -8,11 +8,17 @@
 namespace {
 
 /** Refusals below this share of the arrivals do not count as overload. */
-constexpr double RefusedTolerance = 0.05;
+constexpr double RefusedTolerance = 0.03;
+/** Delayed calls below this share of the arrivals do not count as overload: a queue that is never
+ * empty keeps the slots in use. */
+constexpr double DelayedTolerance = 0.7;
 /** Weight of the newest window in the demand. */
 constexpr float DemandWeight = 0.3F;
-/** Demand above the threshold is hardly seen; its estimate halves in about 2 s. */
-constexpr float UnseenDemandDecay = 0.97F;
+/** Demand above the threshold is hardly seen; its estimate halves in about 14 s. With 2 s the
+ * threshold rose again and again into demand that was still there. */
+constexpr float UnseenDemandDecay = 0.995F;
+/** Growth of the rise per window without overload. */
+constexpr int RiseFactor = 4;
 /** The fill moves slowly, so that it averages over the chance of many windows. */
 constexpr double FillUp = 0.02;
 constexpr double FillDown = 0.02;
@@ -49,6 +55,7 @@
     threshold.m_arrivals.fill(0);
     threshold.m_arrived = 0;
     threshold.m_refused = 0;
+    threshold.m_delayed = 0;
     threshold.m_windowStart = now;
 }
 
@@ -67,6 +74,11 @@
     ++threshold.m_refused;
 }
 
+void recordDelay(OwnThreshold &threshold)
+{
+    ++threshold.m_delayed;
+}
+
 void updateThreshold(OwnThreshold &threshold, double capacity,
                      std::chrono::steady_clock::time_point now)
 {
@@ -75,12 +87,13 @@
     const std::chrono::nanoseconds elapsed = now - threshold.m_windowStart;
     if (elapsed < ThresholdWindow)
         return;
-    const bool overloaded = threshold.m_refused > RefusedTolerance * threshold.m_arrived;
+    const bool overloaded = threshold.m_refused > RefusedTolerance * threshold.m_arrived
+            || threshold.m_delayed > DelayedTolerance * threshold.m_arrived;
     updateDemand(threshold, std::chrono::duration<double>(elapsed).count());
     if (capacity > 0.0 && (overloaded || threshold.m_rank < HighestRank)) {
         threshold.m_fill = std::clamp(threshold.m_fill + (overloaded ? -FillDown : FillUp),
                                       SmallestFill, LargestFill);
-        threshold.m_rise = overloaded ? 1 : std::min(2 * threshold.m_rise, RankBuckets);
+        threshold.m_rise = overloaded ? 1 : std::min(RiseFactor * threshold.m_rise, RankBuckets);
         const int present = (threshold.m_rank + 1) / RanksPerBucket;
         const int buckets = std::min(fittingBuckets(threshold, capacity * threshold.m_fill),
                                      present + threshold.m_rise);
--- a/packages/overload/threshold/ownthreshold.h
+++ b/packages/overload/threshold/ownthreshold.h
@@ -31,6 +31,8 @@
     int m_rise = 1;
     std::uint32_t m_arrived = 0;
     std::uint32_t m_refused = 0;
+    /** Calls that started after waiting longer than the sojourn target. */
+    std::uint32_t m_delayed = 0;
     std::chrono::steady_clock::time_point m_windowStart;
 };
 
@@ -40,6 +42,9 @@
 /** Counts a call that was refused for overload by the queue, not by the threshold itself. */
 void recordOverloadRefusal(OwnThreshold &threshold);
 
+/** Counts a call that started after waiting longer than the sojourn target. */
+void recordDelay(OwnThreshold &threshold);
+
 /**
  * Sets the threshold anew when ThresholdWindow has passed.
  * @param capacity calls a second that the backend server can do: limit over average slot time;
--- a/packages/routing/choice/candidate.cpp
+++ b/packages/routing/choice/candidate.cpp
@@ -1,6 +1,7 @@
 #include "routing/choice/candidate.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace chervilmount::routing {
@@ -36,25 +37,30 @@
 overload::Rank serviceThreshold(const ServiceCandidates &candidates, overload::NameNumber route,
                                 std::chrono::steady_clock::time_point now)
 {
+    std::array<overload::Rank, LargestSubset> fresh{};
+    std::size_t count = 0;
     bool known = false;
-    bool fresh = false;
     overload::Rank highest = 0;
-    overload::Rank highestFresh = 0;
     for (const Candidate &candidate : candidates.m_candidates) {
         if (candidate.m_member.m_excluded || isEjected(candidate.m_outlier, now))
             continue;
         known = true;
         const overload::Rank threshold = candidateThreshold(candidate, route, now);
         highest = std::max(highest, threshold);
-        if (route < candidate.m_thresholds.size()
-            && overload::isFresh(candidate.m_thresholds[route], now)) {
-            fresh = true;
-            highestFresh = std::max(highestFresh, threshold);
-        }
+        if (count < fresh.size() && route < candidate.m_thresholds.size()
+            && overload::isFresh(candidate.m_thresholds[route], now))
+            fresh[count++] = threshold;
     }
-    if (fresh)
-        return highestFresh;
-    return known ? highest : overload::HighestRank;
+    if (count == 0)
+        return known ? highest : overload::HighestRank;
+    const std::array<overload::Rank, LargestSubset>::iterator end =
+            fresh.begin() + static_cast<std::ptrdiff_t>(count);
+    if (std::find(fresh.begin(), end, overload::HighestRank) != end)
+        return overload::HighestRank;
+    const std::array<overload::Rank, LargestSubset>::iterator middle =
+            fresh.begin() + static_cast<std::ptrdiff_t>(count / 2);
+    std::nth_element(fresh.begin(), middle, end);
+    return *middle;
 }
 
 overload::ThresholdDecision decideSend(ServiceCandidates &candidates, overload::NameNumber route,
--- a/packages/routing/choice/candidate.h
+++ b/packages/routing/choice/candidate.h
@@ -14,6 +14,9 @@
 enum class Place { SameFailureDomain, SameRegion, OtherRegion };
 constexpr int Places = 3;
 
+/** Bound of the candidates that one decision considers. */
+constexpr std::size_t LargestSubset = 64;
+
 /** A backend server as the member table describes it. */
 struct Member
 {
@@ -74,9 +77,10 @@
                                   std::chrono::steady_clock::time_point now);
 
 /**
- * Threshold of the service for a route: the highest among the candidates that can be chosen and
- * have confirmed theirs lately, so that a request is shed only if no backend server that is known
- * to admit it is left. Without any fresh value, the highest of the aged ones.
+ * Threshold of the service for a route, from the candidates that can be chosen and have confirmed
+ * theirs lately: HighestRank if one of them does not shed at all, so that calls go there; otherwise
+ * the median, since the highest of many noisy values admits too much. Without any fresh value, the
+ * highest of the aged ones.
  */
 overload::Rank serviceThreshold(const ServiceCandidates &candidates, overload::NameNumber route,
                                 std::chrono::steady_clock::time_point now);
--- a/packages/routing/choice/choice.cpp
+++ b/packages/routing/choice/choice.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/** Bound of the candidates considered in one place; the subset has at most this many. */
-constexpr std::size_t LargestSubset = 64;
-
 /** Candidates of one place that can be chosen. */
 struct Eligible
 {
--- a/tests/overload/admission_test.cpp
+++ b/tests/overload/admission_test.cpp
@@ -19,7 +19,7 @@
 ArrivingCall callOf(CallNumber call, NameNumber organisation, Rank rank,
                     std::chrono::nanoseconds timeLeft = 2s)
 {
-    return {call, organisation, rank, 1.0F, Start + timeLeft};
+    return {call, organisation, rank, false, 1.0F, Start + timeLeft};
 }
 
 /** An admission with one slot, which is in use by call 1. */
@@ -59,10 +59,10 @@
     AdmissionQueue queue;
     CallNumber call = 0;
     for (int number = 0; number < 30; ++number)
-        enqueue(queue, {++call, 1, 0, 1.0F, Start + 1s, Start});
+        enqueue(queue, {++call, 1, 0, false, 1.0F, Start + 1s, Start});
     for (int number = 0; number < 10; ++number) {
-        enqueue(queue, {++call, 2, 0, 1.0F, Start + 1s, Start});
-        enqueue(queue, {++call, 3, 0, 2.0F, Start + 1s, Start});
+        enqueue(queue, {++call, 2, 0, false, 1.0F, Start + 1s, Start});
+        enqueue(queue, {++call, 3, 0, false, 2.0F, Start + 1s, Start});
     }
     std::map<NameNumber, int> taken;
     for (int number = 0; number < 10; ++number)
@@ -84,7 +84,7 @@
         if (action < 2) {
             const NameNumber organisation = random() % 6;
             const Rank rank = static_cast<Rank>(random() % RankCount);
-            enqueue(queue, {++next, organisation, rank, 0.5F, Start + 1s, Start});
+            enqueue(queue, {++next, organisation, rank, false, 0.5F, Start + 1s, Start});
             waiting[next] = {organisation, classOf(rank)};
         } else if (action == 2 && !waiting.empty()) {
             const CallNumber victim = std::next(waiting.begin(), random() % waiting.size())->first;
