--- a/packages/overload/admission/admission.cpp
+++ b/packages/overload/admission/admission.cpp
@@ -2,6 +2,8 @@
 
 #include "overload/deadline/deadline.h"
 
+#include <algorithm>
+
 namespace chervilmount::overload {
 
 namespace {
@@ -22,6 +24,22 @@
     return admission.m_inFlight < limitNow(admission.m_limit);
 }
 
+/** Calls a second that the limit allows at the present slot time; 0 while unknown. */
+double capacityNow(const Admission &admission)
+{
+    return admission.m_averageSlotTime > 0.0
+            ? limitNow(admission.m_limit) / admission.m_averageSlotTime
+            : 0.0;
+}
+
+std::chrono::nanoseconds sojournTarget(const Admission &admission)
+{
+    const std::chrono::nanoseconds departures =
+            fromSeconds(admission.m_settings.m_departuresWaited * admission.m_averageSlotTime
+                        / limitNow(admission.m_limit));
+    return std::max(admission.m_settings.m_sojournTarget, departures);
+}
+
 void recordSlotTime(Admission &admission, std::chrono::nanoseconds slotTime)
 {
     const double seconds = std::chrono::duration<double>(slotTime).count();
@@ -36,6 +54,21 @@
                                                                  : -(1.0 - LowPercentile) * step;
 }
 
+/**
+ * Raises the average slot time to the time since a call last ended, while all slots are in use: a
+ * backend server that has become slow or hangs shows this before its calls end.
+ */
+void noticeMissingDepartures(Admission &admission, std::chrono::steady_clock::time_point now)
+{
+    if (hasFreeSlot(admission)) {
+        admission.m_lastDeparture = now;
+        return;
+    }
+    const double missing = std::chrono::duration<double>(now - admission.m_lastDeparture).count();
+    if (admission.m_averageSlotTime > 0.0)
+        admission.m_averageSlotTime = std::max(admission.m_averageSlotTime, missing);
+}
+
 void startWaiting(Admission &admission, std::chrono::steady_clock::time_point now,
                   AdmissionEffects &effects)
 {
@@ -47,8 +80,9 @@
             recordOverloadRefusal(admission.m_threshold);
             continue;
         }
+        if (now - next->m_queuedAt > sojournTarget(admission))
+            recordDelay(admission.m_threshold);
         ++admission.m_inFlight;
-        recordStart(admission.m_threshold);
         effects.m_started.push_back(next->m_call);
     }
 }
@@ -58,9 +92,11 @@
 {
     if (admission.m_queue.m_size == 0)
         return;
+    const std::chrono::nanoseconds target = sojournTarget(admission);
+    const std::chrono::nanoseconds interval =
+            std::max(admission.m_settings.m_sojournInterval, 2 * target);
     std::vector<QueuedCall> expired;
-    removeExpired(admission.m_queue, admission.m_settings.m_sojournTarget,
-                  admission.m_settings.m_sojournInterval, now, expired);
+    removeExpired(admission.m_queue, target, interval, now, expired);
     for (const QueuedCall &queued : expired) {
         effects.m_refused.push_back({queued.m_call, Reason::SojournExceeded});
         recordOverloadRefusal(admission.m_threshold);
@@ -91,8 +127,8 @@
         recordOverloadRefusal(admission.m_threshold);
     }
     enqueue(admission.m_queue,
-            {arriving.m_call, arriving.m_organisation, arriving.m_rank, arriving.m_cost,
-             arriving.m_deadline, now});
+            {arriving.m_call, arriving.m_organisation, arriving.m_rank, arriving.m_nested,
+             arriving.m_cost, arriving.m_deadline, now});
     return {Verdict::Wait, Reason::Queued};
 }
 
@@ -111,7 +147,7 @@
 {
     if (admission.m_leaving)
         return {Verdict::Refuse, Reason::Leaving};
-    updateThreshold(admission.m_threshold, now);
+    updateThreshold(admission.m_threshold, capacityNow(admission), now);
     recordArrival(admission.m_threshold, arriving.m_rank);
     if (admission.m_queue.m_size > 0 || !hasFreeSlot(admission))
         return waitForSlot(admission, arriving, now, effects);
@@ -119,7 +155,6 @@
                          arriving.m_deadline, now))
         return {Verdict::Refuse, Reason::DeadlineTooShort};
     ++admission.m_inFlight;
-    recordStart(admission.m_threshold);
     admission.m_queue.m_classes[classOf(arriving.m_rank)].m_lastEmpty = now;
     return {Verdict::Start, Reason::SlotFree};
 }
@@ -131,6 +166,7 @@
     recordResult(admission.m_limit, admission.m_settings.m_limit, result, ownLatency,
                  admission.m_inFlight, now);
     --admission.m_inFlight;
+    admission.m_lastDeparture = now;
     if (result == CallResult::Success)
         recordSlotTime(admission, slotTime);
     refuseExpired(admission, now, effects);
@@ -145,9 +181,10 @@
 void tick(Admission &admission, std::chrono::steady_clock::time_point now,
           AdmissionEffects &effects)
 {
+    noticeMissingDepartures(admission, now);
     refuseExpired(admission, now, effects);
     startWaiting(admission, now, effects);
-    updateThreshold(admission.m_threshold, now);
+    updateThreshold(admission.m_threshold, capacityNow(admission), now);
 }
 
 std::chrono::nanoseconds expectedWait(const Admission &admission, Rank rank)
--- a/packages/overload/admission/admission.h
+++ b/packages/overload/admission/admission.h
@@ -14,8 +14,12 @@
 struct AdmissionSettings
 {
     LimitSettings m_limit;
-    /** Longest wait of a class whose queue has stood for the interval. */
+    /** Longest wait of a class whose queue has stood for the interval; at least the time in which
+     * m_departuresWaited slots become free. */
     std::chrono::nanoseconds m_sojournTarget = std::chrono::milliseconds{5};
+    /** A slow backend server frees a slot less often than every 5 ms; without this floor nearly
+     * every call that waits for it would be refused while slots become free. */
+    double m_departuresWaited = 4.0;
     /** Longest wait of a class whose queue does not stand. */
     std::chrono::nanoseconds m_sojournInterval = std::chrono::milliseconds{100};
     /** Bound of the queue's memory; the sojourn bound normally keeps the queue far below it. */
@@ -37,6 +41,8 @@
     double m_averageSlotTime = 0.0;
     /** Estimate of the 10th percentile of the same, in seconds; 0 until known. */
     double m_lowSlotTime = 0.0;
+    /** When a call last ended or a slot was last seen free. */
+    std::chrono::steady_clock::time_point m_lastDeparture;
     bool m_leaving = false;
 };
 
@@ -46,6 +52,8 @@
     CallNumber m_call = 0;
     NameNumber m_organisation = NoOrganisation;
     Rank m_rank = 0;
+    /** The call was sent by a backend server, which holds a slot meanwhile. */
+    bool m_nested = false;
     float m_cost = 1.0F;
     std::chrono::steady_clock::time_point m_deadline;
 };
--- a/packages/routing/choice/candidate.h
+++ b/packages/routing/choice/candidate.h
@@ -14,6 +14,9 @@
 enum class Place { SameFailureDomain, SameRegion, OtherRegion };
 constexpr int Places = 3;
 
+/** Bound of the candidates that one decision considers. */
+constexpr std::size_t LargestSubset = 64;
+
 /** A backend server as the member table describes it. */
 struct Member
 {
@@ -57,6 +60,8 @@
 {
     /** Ordered by place. */
     std::vector<Candidate> m_candidates;
+    /** When the last probe above the threshold was sent, indexed by the route's number. */
+    std::vector<std::chrono::steady_clock::time_point> m_lastProbes;
 };
 
 /** @returns the weight in the draw: grows from the first weight to 1 during the slow start. */
@@ -72,10 +77,21 @@
                                   std::chrono::steady_clock::time_point now);
 
 /**
- * Threshold of the service for a route: the highest among the candidates that can be chosen, so
- * that a request is shed at the entry only if no backend server would admit it.
+ * Threshold of the service for a route, from the candidates that can be chosen and have confirmed
+ * theirs lately: HighestRank if one of them does not shed at all, so that calls go there; otherwise
+ * the median, since the highest of many noisy values admits too much. Without any fresh value, the
+ * highest of the aged ones.
  */
 overload::Rank serviceThreshold(const ServiceCandidates &candidates, overload::NameNumber route,
                                 std::chrono::steady_clock::time_point now);
 
+/**
+ * Decides whether a request goes on to the service: at the entry, and at the node beside a backend
+ * server for each service that the backend server calls, before any work is done.
+ */
+overload::ThresholdDecision decideSend(ServiceCandidates &candidates, overload::NameNumber route,
+                                       overload::Rank rank,
+                                       std::chrono::steady_clock::time_point now,
+                                       std::mt19937_64 &random);
+
 } // namespace chervilmount::routing
