--- a/packages/model/check/setchecker.cpp
+++ b/packages/model/check/setchecker.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+// As an integer; the shortest form of the number is 1e+09.
+const std::string MaximumRateText = std::to_string(static_cast<std::int64_t>(MaximumRate));
+
 std::string quoted(std::string_view text)
 {
     return '"' + std::string(text) + '"';
@@ -183,11 +186,10 @@
         };
         if (!(organisation.m_rate > 0 && organisation.m_rate <= MaximumRate))
             reportRange(place("/rate"), organisation.m_rate,
-                        "use more than 0 and at most " + toText(boost::json::value(MaximumRate))
-                                + " requests a second");
+                        "use more than 0 and at most " + MaximumRateText + " requests a second");
         if (!(organisation.m_burst >= 1 && organisation.m_burst <= MaximumRate))
             reportRange(place("/burst"), organisation.m_burst,
-                        "use 1 to " + toText(boost::json::value(MaximumRate)) + " requests");
+                        "use 1 to " + MaximumRateText + " requests");
         checkShares(index);
         noteSmallBurst(index);
         const std::chrono::seconds period = organisation.m_servesWithoutProof;
--- a/packages/model/index/routetable.cpp
+++ b/packages/model/index/routetable.cpp
@@ -30,38 +30,42 @@
     return isPort ? host.substr(0, colon) : host;
 }
 
-/** Takes the next character off the path, with the separators and dots decoded. */
-char takeDecoded(std::string_view &path)
+/** @returns the character that an escape at @p position stands for if it is '.' or a separator, and
+ * moves the position to the end of the escape; otherwise '%'. */
+char decodeEscape(std::string_view path, std::size_t &position)
 {
-    constexpr std::array<std::pair<std::string_view, char>, 6> Encoded{
-            {{"%2e", '.'}, {"%2E", '.'}, {"%2f", '/'}, {"%2F", '/'}, {"%5c", '/'}, {"%5C", '/'}}};
-    for (const std::pair<std::string_view, char> &encoded : Encoded) {
-        if (path.starts_with(encoded.first)) {
-            path.remove_prefix(encoded.first.size());
-            return encoded.second;
-        }
-    }
-    const char character = path.front();
-    path.remove_prefix(1);
-    return character == '\\' ? '/' : character;
+    const std::string_view digits = path.substr(position + 1, 2);
+    char decoded = '%';
+    if (digits == "2e" || digits == "2E")
+        decoded = '.';
+    else if (digits == "2f" || digits == "2F" || digits == "5c" || digits == "5C")
+        decoded = '/';
+    if (decoded != '%')
+        position += digits.size();
+    return decoded;
 }
 
 bool hasDotSegment(std::string_view path)
 {
+    // Most paths have neither dots nor escapes and need no closer look.
+    if (path.find('.') == std::string_view::npos && path.find('%') == std::string_view::npos)
+        return false;
     std::size_t length = 0;
     std::size_t dots = 0;
-    const auto isDotSegment = [&] { return length > 0 && length <= 2 && dots == length; };
-    while (!path.empty()) {
-        const char character = takeDecoded(path);
-        if (character == '/') {
-            if (isDotSegment())
-                return true;
-            length = 0;
-            dots = 0;
+    const auto isDotSegment = [&] { return (length == 1 || length == 2) && dots == length; };
+    for (std::size_t position = 0; position < path.size(); ++position) {
+        char character = path[position];
+        if (character == '%')
+            character = decodeEscape(path, position);
+        if (character != '/' && character != '\\') {
+            ++length;
+            dots += character == '.' ? 1 : 0;
             continue;
         }
-        ++length;
-        dots += character == '.' ? 1 : 0;
+        if (isDotSegment())
+            return true;
+        length = 0;
+        dots = 0;
     }
     return isDotSegment();
 }
