Add the demonstration of both example deployments on loopback

The thin path carries requests, but most are refused: nodes know only a part of the backend servers (no-backend-server) and nested calls fail. The demonstration shows this until the node's membership is wired.

--- /dev/null
+++ b/tools/deployment.sh
@@ -0,0 +1,115 @@
+# Functions that run one deployment (platform, nodes, backend servers) on loopback. Sourced by
+# tools/demo and by the end-to-end tests. All processes are stopped by stop_processes.
+#
+# Callers set: BUILD (build folder), WORK (folder for settings and logs).
+# Ports of a deployment with base B: platform B, node i: callers B+100+i, local B+200+i,
+# operators B+300+i, peers B+400+i; backend server i: B+500+i.
+
+PROCESSES=""
+
+# start_process LOG COMMAND... : starts a process and sets LAST_PID.
+start_process() {
+    local log=$1
+    shift
+    "$@" > "$WORK/$log.log" 2>&1 &
+    LAST_PID=$!
+    PROCESSES="$PROCESSES $LAST_PID"
+}
+
+# stop_processes : asks all processes to stop, then ends what is still running after 5 s.
+stop_processes() {
+    local pid
+    for pid in $PROCESSES; do
+        kill -CONT "$pid" 2> /dev/null || true
+        kill -TERM "$pid" 2> /dev/null || true
+    done
+    local waited=0
+    while [ $waited -lt 50 ] && any_process_alive; do
+        sleep 0.1
+        waited=$((waited + 1))
+    done
+    for pid in $PROCESSES; do
+        kill -KILL "$pid" 2> /dev/null || true
+    done
+    wait 2> /dev/null || true
+    PROCESSES=""
+}
+
+any_process_alive() {
+    local pid
+    for pid in $PROCESSES; do
+        kill -0 "$pid" 2> /dev/null && return 0
+    done
+    return 1
+}
+
+# write_node_settings EXAMPLE BASE INDEX DOMAIN PEERS : PEERS is a JSON list of peer addresses.
+write_node_settings() {
+    local example=$1 base=$2 index=$3 domain=$4 peers=$5
+    cat > "$WORK/node-$base-$index.json" << SETTINGS
+{
+  "failureDomain": "$domain",
+  "listen": {
+    "callers": "127.0.0.1:$((base + 100 + index))",
+    "local": "127.0.0.1:$((base + 200 + index))",
+    "operators": "127.0.0.1:$((base + 300 + index))",
+    "peers": "127.0.0.1:$((base + 400 + index))"
+  },
+  "peers": $peers,
+  "platform": {"table": "127.0.0.1:$base", "objects": "127.0.0.1:$base"},
+  "mesh": $(cat "examples/$example/mesh.json"),
+  "digestKey": "$(tr -d '\n' < "examples/$example/digest.key")",
+  "log": {"level": "${NODE_LOG_LEVEL:-info}", "file": "$WORK/node-$base-$index.decisions.log"}
+}
+SETTINGS
+}
+
+# start_node BASE INDEX : starts the node with the settings written before.
+start_node() {
+    start_process "node-$1-$2" "$BUILD/packages/node/chervilmount-node" "$WORK/node-$1-$2.json"
+}
+
+# start_backend BASE INDEX SERVICE SLOTS CONNECTIONS SERVICE_TIME_MS CALLS
+start_backend() {
+    start_process "backend-$1-$2" "$BUILD/standins/standin-backend" \
+        --listen "127.0.0.1:$(($1 + 500 + $2))" --node "127.0.0.1:$(($1 + 200 + $2))" \
+        --service "$3" --slots "$4" --connections "$5" --service-time "$6" --calls "$7"
+}
+
+start_platform() {
+    start_process "platform-$1" "$BUILD/standins/standin-platform" --listen "127.0.0.1:$1"
+}
+
+# set_faults ADDRESS JSON : switches faults of a stand-in.
+set_faults() {
+    curl -s -f -m 2 -o /dev/null -X POST "http://$1/standin/faults" -d "$2"
+}
+
+# wait_until SECONDS COMMAND... : retries the command until it succeeds.
+wait_until() {
+    local seconds=$1 tries
+    shift
+    tries=$((seconds * 5))
+    while [ $tries -gt 0 ]; do
+        "$@" > /dev/null 2>&1 && return 0
+        sleep 0.2
+        tries=$((tries - 1))
+    done
+    echo "error: not reached within $seconds s: $*" >&2
+    return 1
+}
+
+node_is_ready() {
+    curl -s -f -m 1 -o /dev/null "http://127.0.0.1:$(($1 + 300 + $2))/ready"
+}
+
+node_is_healthy() {
+    curl -s -f -m 1 -o /dev/null "http://127.0.0.1:$(($1 + 300 + $2))/health"
+}
+
+# publish_example EXAMPLE BASE VERSION : publishes the example through node 0.
+publish_example() {
+    "$BUILD/packages/command/chervilmount-ctl" --node "127.0.0.1:$(($2 + 300))" \
+        --expected-version "$3" publish "examples/$1/services.json" "examples/$1/domains.json" \
+        "examples/$1/organisations.json"
+}
