Take the service's threshold from the nearest place as well

Cause: the median over all places left slots of a less loaded domain unused; its threshold then rose without effect until it admitted everything and let in a burst.

Change: the higher of the median of the nearest place and the median of all.

--- a/packages/routing/choice/candidate.cpp
+++ b/packages/routing/choice/candidate.cpp
@@ -6,6 +6,31 @@
 
 namespace chervilmount::routing {
 
+namespace {
+
+struct Thresholds
+{
+    std::array<overload::Rank, LargestSubset> m_values{};
+    std::size_t m_count = 0;
+};
+
+void add(Thresholds &thresholds, overload::Rank value)
+{
+    if (thresholds.m_count < thresholds.m_values.size())
+        thresholds.m_values[thresholds.m_count++] = value;
+}
+
+overload::Rank median(Thresholds &thresholds)
+{
+    const std::array<overload::Rank, LargestSubset>::iterator begin = thresholds.m_values.begin();
+    const std::array<overload::Rank, LargestSubset>::iterator middle =
+            begin + static_cast<std::ptrdiff_t>(thresholds.m_count / 2);
+    std::nth_element(begin, middle, begin + static_cast<std::ptrdiff_t>(thresholds.m_count));
+    return *middle;
+}
+
+} // namespace
+
 double drawWeight(const Candidate &candidate, const RoutingSettings &settings,
                   std::chrono::steady_clock::time_point now)
 {
@@ -37,8 +62,9 @@
 overload::Rank serviceThreshold(const ServiceCandidates &candidates, overload::NameNumber route,
                                 std::chrono::steady_clock::time_point now)
 {
-    std::array<overload::Rank, LargestSubset> fresh{};
-    std::size_t count = 0;
+    Thresholds nearest;
+    Thresholds all;
+    Place nearestPlace = Place::OtherRegion;
     bool known = false;
     overload::Rank highest = 0;
     for (const Candidate &candidate : candidates.m_candidates) {
@@ -47,20 +73,22 @@
         known = true;
         const overload::Rank threshold = candidateThreshold(candidate, route, now);
         highest = std::max(highest, threshold);
-        if (count < fresh.size() && route < candidate.m_thresholds.size()
-            && overload::isFresh(candidate.m_thresholds[route], now))
-            fresh[count++] = threshold;
+        if (route >= candidate.m_thresholds.size()
+            || !overload::isFresh(candidate.m_thresholds[route], now))
+            continue;
+        if (threshold == overload::HighestRank)
+            return overload::HighestRank;
+        if (candidate.m_member.m_place < nearestPlace) {
+            nearestPlace = candidate.m_member.m_place;
+            nearest.m_count = 0;
+        }
+        if (candidate.m_member.m_place == nearestPlace)
+            add(nearest, threshold);
+        add(all, threshold);
     }
-    if (count == 0)
+    if (all.m_count == 0)
         return known ? highest : overload::HighestRank;
-    const std::array<overload::Rank, LargestSubset>::iterator end =
-            fresh.begin() + static_cast<std::ptrdiff_t>(count);
-    if (std::find(fresh.begin(), end, overload::HighestRank) != end)
-        return overload::HighestRank;
-    const std::array<overload::Rank, LargestSubset>::iterator middle =
-            fresh.begin() + static_cast<std::ptrdiff_t>(count / 2);
-    std::nth_element(fresh.begin(), middle, end);
-    return *middle;
+    return std::max(median(nearest), median(all));
 }
 
 overload::ThresholdDecision decideSend(ServiceCandidates &candidates, overload::NameNumber route,
--- a/packages/routing/choice/candidate.h
+++ b/packages/routing/choice/candidate.h
@@ -79,8 +79,9 @@
 /**
  * Threshold of the service for a route, from the candidates that can be chosen and have confirmed
  * theirs lately: HighestRank if one of them does not shed at all, so that calls go there; otherwise
- * the median, since the highest of many noisy values admits too much. Without any fresh value, the
- * highest of the aged ones.
+ * the higher of two medians, that of the nearest place, where the calls go, and that of all, since
+ * calls go on to other places if the nearest backend server hangs. The highest of many noisy values
+ * would admit too much. Without any fresh value, the highest of the aged ones.
  */
 overload::Rank serviceThreshold(const ServiceCandidates &candidates, overload::NameNumber route,
                                 std::chrono::steady_clock::time_point now);
