--- a/benchmarks/overload/callers.cpp
+++ b/benchmarks/overload/callers.cpp
@@ -142,6 +142,8 @@
         return;
     }
     request.m_rank = rankFor(simulation, number);
+    request.m_ranked = true;
+    request.m_enteredAt = simulation.m_now;
     const int service = simulation.m_deployment.m_kinds[original.m_kind].m_service;
     if (simulation.m_variant.m_entryThreshold) {
         if (!routing::decideSend(simulation.m_nodes[request.m_entry].m_candidates[service],
--- a/benchmarks/overload/measures.h
+++ b/benchmarks/overload/measures.h
@@ -22,6 +22,19 @@
     bool m_beyondRate = false;
 };
 
+/** One request at an entry, for checks of single decisions. */
+struct RequestRecord
+{
+    std::chrono::steady_clock::time_point m_at;
+    int m_organisation = 0;
+    int m_service = 0;
+    int m_priority = 0;
+    /** Over-use level in the rank, raised by repeats. */
+    int m_overUseLevel = 0;
+    bool m_ended = false;
+    bool m_succeeded = false;
+};
+
 /** Sums that the run collects as it goes. */
 struct RunTotals
 {
--- a/benchmarks/overload/simulation.cpp
+++ b/benchmarks/overload/simulation.cpp
@@ -83,6 +83,22 @@
     }
 }
 
+std::vector<RequestRecord> recordsOf(const Simulation &simulation)
+{
+    std::vector<RequestRecord> records;
+    for (const Request &request : simulation.m_requests) {
+        if (request.m_deadline == Time{} || !request.m_ranked)
+            continue;
+        const Original &original = simulation.m_originals[request.m_original];
+        const RequestKind &kind = simulation.m_deployment.m_kinds[original.m_kind];
+        records.push_back({request.m_enteredAt, original.m_organisation, kind.m_service,
+                           kind.m_priority,
+                           overload::classOf(request.m_rank) % overload::OverUseLevels,
+                           request.m_ended, request.m_succeeded});
+    }
+    return records;
+}
+
 void handle(Simulation &simulation, const Event &event)
 {
     switch (event.m_kind) {
@@ -269,7 +285,7 @@
 }
 
 Measures runScenario(const Deployment &deployment, const Scenario &scenario, const Variant &variant,
-                     std::uint64_t seed)
+                     std::uint64_t seed, std::vector<RequestRecord> *records)
 {
     Simulation simulation{deployment, scenario, variant};
     simulation.m_arrivalRandom.seed(seed);
@@ -289,6 +305,8 @@
         ++simulation.m_totals.m_events;
         handle(simulation, event);
     }
+    if (records != nullptr)
+        *records = recordsOf(simulation);
     return measure(deployment, scenario, simulation.m_originals, simulation.m_totals, RunStart);
 }
 
--- a/benchmarks/overload/simulation.h
+++ b/benchmarks/overload/simulation.h
@@ -65,6 +65,8 @@
     int m_entry = 0;
     int m_repeat = 0;
     overload::Rank m_rank = 0;
+    bool m_ranked = false;
+    Time m_enteredAt;
     Time m_deadline;
     overload::AttemptAllowance m_allowance;
     std::uint32_t m_servicesCalled = 0;
@@ -176,9 +178,12 @@
     RunTotals m_totals{};
 };
 
-/** Runs a scenario in virtual time. The same arguments give the same measures. */
+/**
+ * Runs a scenario in virtual time. The same arguments give the same measures.
+ * @param records gets the requests that passed the rate enforcement, if not null.
+ */
 Measures runScenario(const Deployment &deployment, const Scenario &scenario, const Variant &variant,
-                     std::uint64_t seed);
+                     std::uint64_t seed, std::vector<RequestRecord> *records = nullptr);
 
 // Parts of the simulation.
 void schedule(Simulation &simulation, Duration delay, EventKind kind, std::uint32_t subject,
--- a/benchmarks/overload/simulationcalls.cpp
+++ b/benchmarks/overload/simulationcalls.cpp
@@ -159,6 +159,7 @@
             : overload::Failure::MayHaveRun;
     failed.m_onceOnly = simulation.m_deployment.m_kinds[original.m_kind].m_onceOnly;
     failed.m_nestedCalls = nestedCallsOf(simulation, call.m_service);
+    failed.m_handedOver = simulation.m_attempts[call.m_openAttempt].m_handedOver;
     failed.m_deadline = request.m_deadline;
     overload::AttemptAllowance hopAllowance{call.m_hopRetriesLeft, false};
     overload::AttemptAllowance &own =
--- a/benchmarks/overload/simulationservers.cpp
+++ b/benchmarks/overload/simulationservers.cpp
@@ -230,10 +230,10 @@
             ? simulation.m_originals[request.m_original].m_organisation + 1U
             : overload::NoOrganisation;
     arriving.m_rank = request.m_rank;
+    // The smallest organisation has cost 1, so that its call starts when its turn comes.
     arriving.m_cost = static_cast<float>(
-            1.0
-            / (DemandShares[simulation.m_originals[request.m_original].m_organisation]
-               * Organisations));
+            *std::min_element(std::begin(DemandShares), std::end(DemandShares))
+            / DemandShares[simulation.m_originals[request.m_original].m_organisation]);
     arriving.m_nested = simulation.m_calls[attempt.m_call].m_parent != None;
     arriving.m_deadline = simulation.m_variant.m_deadlineRefusal
             ? request.m_deadline
--- a/packages/overload/admission/admissionqueue.cpp
+++ b/packages/overload/admission/admissionqueue.cpp
@@ -27,6 +27,7 @@
 void joinRound(ClassQueue &classQueue, std::uint32_t organisation)
 {
     OrganisationQueue &joining = classQueue.m_organisations[organisation];
+    ++classQueue.m_waitingOrganisations;
     joining.m_deficit = 0.0F;
     if (classQueue.m_beforeTurn == NoIndex) {
         joining.m_nextInRound = organisation;
@@ -42,6 +43,7 @@
 void leaveRound(ClassQueue &classQueue, std::uint32_t organisation)
 {
     std::vector<OrganisationQueue> &all = classQueue.m_organisations;
+    --classQueue.m_waitingOrganisations;
     std::uint32_t before = classQueue.m_beforeTurn;
     while (all[before].m_nextInRound != organisation)
         before = all[before].m_nextInRound;
@@ -84,6 +86,25 @@
     return std::clamp(entries[index].m_queued.m_cost, SmallestCost, LargestCost);
 }
 
+void takeExpired(AdmissionQueue &queue, const OrganisationQueue &organisation,
+                 std::chrono::nanoseconds target, std::chrono::nanoseconds bound,
+                 std::chrono::nanoseconds interval, std::chrono::steady_clock::time_point now,
+                 std::vector<QueuedCall> &expired)
+{
+    std::uint32_t index = organisation.m_first;
+    while (index != NoIndex) {
+        const QueueEntry &entry = queue.m_entries[index];
+        const std::uint32_t next = entry.m_next;
+        const std::chrono::nanoseconds waited = now - entry.m_queued.m_queuedAt;
+        // The calls are in the order of arrival, so no later one has waited longer.
+        if (waited <= target)
+            return;
+        if (waited > (entry.m_queued.m_nested ? interval : bound))
+            expired.push_back(takeOut(queue, index));
+        index = next;
+    }
+}
+
 std::uint32_t nextInTurn(ClassQueue &classQueue, const std::vector<QueueEntry> &entries)
 {
     for (;;) {
@@ -170,22 +191,17 @@
                    std::chrono::nanoseconds interval, std::chrono::steady_clock::time_point now,
                    std::vector<QueuedCall> &expired)
 {
-    for (std::uint32_t left = queue.m_occupied; left != 0; left &= left - 1) {
-        ClassQueue &classQueue = queue.m_classes[std::countr_zero(left)];
+    for (std::uint32_t occupied = queue.m_occupied; occupied != 0; occupied &= occupied - 1) {
+        ClassQueue &classQueue = queue.m_classes[std::countr_zero(occupied)];
         const std::chrono::nanoseconds bound = sojournBound(classQueue, target, interval, now);
-        for (OrganisationQueue &organisation : classQueue.m_organisations) {
-            std::uint32_t index = organisation.m_first;
-            while (index != NoIndex) {
-                const QueueEntry &entry = queue.m_entries[index];
-                const std::uint32_t next = entry.m_next;
-                const std::chrono::nanoseconds waited = now - entry.m_queued.m_queuedAt;
-                // The calls are in the order of arrival, so no later one has waited longer.
-                if (waited <= target)
-                    break;
-                if (waited > (entry.m_queued.m_nested ? interval : bound))
-                    expired.push_back(takeOut(queue, index));
-                index = next;
-            }
+        std::uint32_t organisation = classQueue.m_beforeTurn;
+        // Organisations leave the ring when their last call is taken out, so each step reads the
+        // successor first and the ring's size bounds the walk.
+        for (std::uint32_t left = classQueue.m_waitingOrganisations; left > 0; --left) {
+            const std::uint32_t next = classQueue.m_organisations[organisation].m_nextInRound;
+            takeExpired(queue, classQueue.m_organisations[organisation], target, bound, interval,
+                        now, expired);
+            organisation = next;
         }
     }
 }
--- a/packages/overload/admission/admissionqueue.h
+++ b/packages/overload/admission/admissionqueue.h
@@ -24,8 +24,9 @@
     /** The caller holds a slot of another backend server meanwhile; refusing would waste its work.
      */
     bool m_nested = false;
-    /** Expected use of a slot relative to the service's average, over the organisation's rate
-     * relative to the average rate; weighs in the round robin. */
+    /** Expected use of a slot relative to the service's average, times the smallest rate of an
+     * organisation over this organisation's rate. An organisation can spend 1 per round, so a call
+     * that costs more waits for several rounds. */
     float m_cost = 1.0F;
     std::chrono::steady_clock::time_point m_deadline;
     std::chrono::steady_clock::time_point m_queuedAt;
@@ -51,6 +52,7 @@
     std::vector<OrganisationQueue> m_organisations;
     /** Organisation before the one whose turn it is, in the ring of those with waiting calls. */
     std::uint32_t m_beforeTurn = NoIndex;
+    std::uint32_t m_waitingOrganisations = 0;
     std::uint32_t m_size = 0;
     /** When a call of this class last found a free slot or was the last to be dequeued. */
     std::chrono::steady_clock::time_point m_lastEmpty;
--- a/packages/overload/retry/attemptallowance.cpp
+++ b/packages/overload/retry/attemptallowance.cpp
@@ -31,13 +31,13 @@
     return handOver(own, nestedCalls, own.m_repeat);
 }
 
-std::optional<AttemptAllowance> allowRetry(AttemptAllowance &own, NestedCalls nestedCalls,
-                                           bool provenNotRun)
+std::optional<AttemptAllowance> allowRetry(AttemptAllowance &own, const AttemptAllowance &failed,
+                                           NestedCalls nestedCalls, bool provenNotRun)
 {
     if (own.m_extraAttempts < 1)
         return std::nullopt;
     --own.m_extraAttempts;
-    return handOver(own, nestedCalls, own.m_repeat || !provenNotRun);
+    return handOver(own, nestedCalls, own.m_repeat || failed.m_repeat || !provenNotRun);
 }
 
 void takeBackUnused(AttemptAllowance &own, const AttemptAllowance &handedOver, int reportedUnused)
--- a/packages/overload/retry/attemptallowance.h
+++ b/packages/overload/retry/attemptallowance.h
@@ -29,11 +29,13 @@
 
 /**
  * Takes one extra attempt for a retry and hands over the retry's part.
+ * @param failed the allowance that was sent with the failed attempt; a retry of a repeat stays a
+ *        repeat, since an earlier attempt may have made nested calls.
  * @param provenNotRun the failed attempt has made no nested call.
  * @returns the allowance of the retry; nothing if no extra attempt is left.
  */
-std::optional<AttemptAllowance> allowRetry(AttemptAllowance &own, NestedCalls nestedCalls,
-                                           bool provenNotRun);
+std::optional<AttemptAllowance> allowRetry(AttemptAllowance &own, const AttemptAllowance &failed,
+                                           NestedCalls nestedCalls, bool provenNotRun);
 
 /**
  * Takes back what a nested call did not use. Not called when the response was lost: the part handed
--- a/packages/overload/retry/retrydecision.cpp
+++ b/packages/overload/retry/retrydecision.cpp
@@ -38,8 +38,8 @@
     if (!takeRetryToken(budget, settings, now))
         return noRetry(Reason::RetryBudgetSpent);
     RetryDecision decision;
-    decision.m_allowance =
-            allowRetry(own, attempt.m_nestedCalls, attempt.m_failure == Failure::NotRun);
+    decision.m_allowance = allowRetry(own, attempt.m_handedOver, attempt.m_nestedCalls,
+                                      attempt.m_failure == Failure::NotRun);
     decision.m_delay = delay;
     decision.m_reason = Reason::RetryAllowed;
     return decision;
--- a/packages/overload/retry/retrydecision.h
+++ b/packages/overload/retry/retrydecision.h
@@ -26,6 +26,8 @@
     Failure m_failure = Failure::MayHaveRun;
     bool m_onceOnly = false;
     NestedCalls m_nestedCalls = NestedCalls::Possible;
+    /** Allowance that was sent with the attempt. */
+    AttemptAllowance m_handedOver;
     std::chrono::steady_clock::time_point m_deadline;
     /** Low-percentile time the service takes; a retry that cannot finish in time is not sent. */
     std::chrono::nanoseconds m_serviceTime{0};
--- a/tests/overload/retry_test.cpp
+++ b/tests/overload/retry_test.cpp
@@ -78,9 +78,10 @@
     CHECK(own.m_extraAttempts + part.m_extraAttempts == 5);
     takeBackUnused(own, part, part.m_extraAttempts + 3);
     CHECK(own.m_extraAttempts == 5);
-    const AttemptAllowance retry = *allowRetry(own, NestedCalls::Possible, false);
+    const AttemptAllowance retry = *allowRetry(own, part, NestedCalls::Possible, false);
     CHECK(retry.m_repeat);
     CHECK(own.m_extraAttempts + retry.m_extraAttempts == 4);
+    CHECK(allowRetry(own, retry, NestedCalls::Possible, true)->m_repeat);
     AttemptAllowance empty{0, true};
     CHECK_FALSE(allowFirstAttempt(empty, NestedCalls::None).has_value());
 }
