--- a/packages/sharedstate/lease/leaserow.h
+++ b/packages/sharedstate/lease/leaserow.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace chervilmount::sharedstate {
@@ -18,7 +19,10 @@
     std::uint64_t m_incarnation = 0;
 
     bool operator==(const NodeReference &) const = default;
-    auto operator<=>(const NodeReference &) const = default;
+    bool operator<(const NodeReference &other) const
+    {
+        return std::tie(m_node, m_incarnation) < std::tie(other.m_node, other.m_incarnation);
+    }
 };
 
 /** The value of a row `leases/<name>`. */
--- a/packages/sharedstate/sharedstate.h
+++ b/packages/sharedstate/sharedstate.h
@@ -11,5 +11,7 @@
 #include "sharedstate/claims/claimrelay.h"
 #include "sharedstate/claims/claimstep.h"
 #include "sharedstate/lease/leasestep.h"
+#include "sharedstate/rates/rateentry.h"
+#include "sharedstate/rates/rateshares.h"
 #include "sharedstate/store/storeoperation.h"
 #include "sharedstate/store/storeresult.h"
