--- a/packages/sharedstate/sharedstate.h
+++ b/packages/sharedstate/sharedstate.h
@@ -11,6 +11,7 @@
 #include "sharedstate/claims/claimrelay.h"
 #include "sharedstate/claims/claimstep.h"
 #include "sharedstate/lease/leasestep.h"
+#include "sharedstate/publication/configurationcopy.h"
 #include "sharedstate/rates/rateentry.h"
 #include "sharedstate/rates/rateshares.h"
 #include "sharedstate/store/storeoperation.h"
