--- a/packages/membership/detection/detection.cpp
+++ b/packages/membership/detection/detection.cpp
@@ -17,6 +17,13 @@
             && now - link->second.m_heardAt >= link->second.m_suspectAfter;
 }
 
+bool isHeard(const MembershipState &state, NodeKey key, std::chrono::steady_clock::time_point now)
+{
+    const auto link = state.m_links.find(key);
+    return link != state.m_links.end() && link->second.m_heard
+            && now - link->second.m_heardAt < state.m_settings.m_suspectAfter;
+}
+
 bool isSilentNeighbour(const MembershipState &state, NodeKey key,
                        std::chrono::steady_clock::time_point now)
 {
@@ -54,7 +61,7 @@
     view.m_observers = observers.size();
     view.m_trustedObservers = static_cast<std::size_t>(
             std::count_if(observers.begin(), observers.end(), [&](NodeKey observer) {
-                return observer == state.m_selfKey || !isSilentNeighbour(state, observer, now);
+                return observer == state.m_selfKey || isHeard(state, observer, now);
             }));
     view.m_hearsSomebody = !isIsolated(state, now);
     return view;
@@ -121,9 +128,15 @@
         sendHeartbeat(context, from, true);
         return;
     }
+    PeerLink &link = state.m_links[keyOf(from)];
+    link.m_heard = true;
+    link.m_heardAt = context.m_now;
     const auto known = state.m_table.findVersion(report.m_subject);
     if (!known)
         return;
+    // Shows the reporting observer that this one is alive and has not agreed yet.
+    if (!isSilentNeighbour(state, report.m_subject, context.m_now))
+        sendHeartbeat(context, from, true);
     const std::pair reported{report.m_incarnation, report.m_version};
     const bool present = isPresent(*state.m_table.findState(report.m_subject));
     if (*known > reported || (*known == reported && !present)) {
--- a/packages/membership/detection/heartbeats.cpp
+++ b/packages/membership/detection/heartbeats.cpp
@@ -4,6 +4,7 @@
 #include "membership/step/queries.h"
 #include "membership/sync/reconciliation.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace chervilmount::membership {
@@ -16,6 +17,9 @@
 /** Least time between two replies to one node that is no peer. */
 constexpr std::chrono::milliseconds ReplyInterval{900};
 
+/** Other members tried in each heartbeat interval by a node that hears none of its peers. */
+constexpr std::size_t OthersTried = 8;
+
 void compareRecord(StepContext &context, const NodeId &from, const Heartbeat &heartbeat)
 {
     const MembershipState &state = context.m_state;
@@ -31,6 +35,31 @@
         send(context, from, MemberEvents{{*state.m_table.find(key, context.m_now)}, {}});
 }
 
+bool hearsPeer(const MembershipState &state, std::chrono::steady_clock::time_point now)
+{
+    return std::any_of(state.m_peers.begin(), state.m_peers.end(), [&](const auto &peer) {
+        return now - state.m_links.at(peer.first).m_heardAt < state.m_settings.m_suspectAfter;
+    });
+}
+
+void tryOtherMembers(StepContext &context)
+{
+    const MembershipState &state = context.m_state;
+    std::vector<NodeKey> others;
+    state.m_table.forEachKey([&](NodeKey key, MemberState member, const std::string &domain) {
+        const bool isOwn = domain == state.m_self.m_id.m_failureDomain;
+        if (isPresent(member) && state.m_peers.count(key) == 0 && key != state.m_selfKey
+            && (isOwn || state.m_bridges.isBridge(domain, key))) {
+            others.push_back(key);
+        }
+    });
+    std::shuffle(others.begin(), others.end(), context.m_random);
+    if (others.size() > OthersTried)
+        others.resize(OthersTried);
+    for (const NodeKey key : others)
+        sendHeartbeat(context, *state.m_table.findId(key), false);
+}
+
 } // namespace
 
 void sendHeartbeat(StepContext &context, const NodeId &to, bool isReply)
@@ -49,10 +78,13 @@
 
 void sendHeartbeats(StepContext &context)
 {
-    for (const auto &[key, role] : context.m_state.m_peers) {
-        if (const std::optional<NodeId> id = context.m_state.m_table.findId(key))
+    const MembershipState &state = context.m_state;
+    for (const auto &[key, role] : state.m_peers) {
+        if (const std::optional<NodeId> id = state.m_table.findId(key))
             sendHeartbeat(context, *id, false);
     }
+    if (!state.m_peers.empty() && !hearsPeer(state, context.m_now))
+        tryOtherMembers(context);
 }
 
 void receiveHeartbeat(StepContext &context, const NodeId &from, const Heartbeat &heartbeat)
--- a/packages/membership/detection/heartbeats.h
+++ b/packages/membership/detection/heartbeats.h
@@ -4,7 +4,11 @@
 
 namespace chervilmount::membership {
 
-/** Sends a heartbeat to each peer. */
+/**
+ * Sends a heartbeat to each peer. A node that hears none of its peers also tries a few other
+ * members and the bridges of the other failure domains: their replies show that the peers are at
+ * fault and not its own connection.
+ */
 void sendHeartbeats(StepContext &context);
 
 /** Sends one heartbeat to a node. */
--- a/packages/membership/detection/suspicion.h
+++ b/packages/membership/detection/suspicion.h
@@ -24,7 +24,7 @@
     std::uint64_t m_incarnation = 0;
     std::uint32_t m_version = 0;
     std::vector<ObserverReport> m_reports;
-    /** Since when all observers that are not themselves suspect have agreed. */
+    /** Since when all observers that the deciding node hears have agreed. */
     std::optional<std::chrono::steady_clock::time_point> m_unanimousSince;
 };
 
@@ -43,7 +43,7 @@
 {
     /** Observers of the subject, the deciding node included. */
     std::size_t m_observers = 0;
-    /** Those of them that the deciding node does not suspect, itself included. */
+    /** Those of them that the deciding node hears, itself included. */
     std::size_t m_trustedObservers = 0;
     /** False if the deciding node hears nobody at all. */
     bool m_hearsSomebody = true;
--- a/packages/membership/ring/ringset.cpp
+++ b/packages/membership/ring/ringset.cpp
@@ -39,6 +39,13 @@
 std::vector<NodeKey> RingSet::neighboursOf(NodeKey key) const
 {
     std::vector<NodeKey> neighbours;
+    if (size() <= MaximumNeighbours + 1) {
+        for (const Position &position : m_rings[0])
+            neighbours.push_back(position.second);
+        std::sort(neighbours.begin(), neighbours.end());
+        std::erase(neighbours, key);
+        return neighbours;
+    }
     for (std::size_t ring = 0; ring < RingCount; ++ring) {
         const std::vector<Position> &members = m_rings[ring];
         if (members.empty())
--- a/packages/membership/ring/ringset.h
+++ b/packages/membership/ring/ringset.h
@@ -12,6 +12,9 @@
 /** Rings per failure domain: with 4, a node has up to 8 neighbours. */
 constexpr std::size_t RingCount = 4;
 
+/** Predecessor and successor on each ring. */
+constexpr std::size_t MaximumNeighbours = 2 * RingCount;
+
 /** Returns the position of a node on a ring. */
 std::uint64_t ringPosition(std::size_t ring, NodeKey key);
 
@@ -27,6 +30,8 @@
 
     /**
      * Returns predecessor and successor of a node on each ring without duplicates, sorted by key.
+     * In a domain of up to 9 members all others are neighbours: on rings, two survivors of six may
+     * otherwise have no observer in common and need several rounds of detection.
      * The node need not be on the rings.
      */
     std::vector<NodeKey> neighboursOf(NodeKey key) const;
--- a/packages/membership/step/membershipsettings.h
+++ b/packages/membership/step/membershipsettings.h
@@ -13,7 +13,8 @@
 enum class DisabledRule {
     None,
     Refutation,
-    Forwarding,
+    /** Changes are neither forwarded nor reconciled. */
+    Dissemination,
     Reconciliation,
     VersionOrder,
 };
--- a/packages/membership/step/queries.cpp
+++ b/packages/membership/step/queries.cpp
@@ -40,9 +40,8 @@
 
 bool isIsolated(const MembershipState &state, std::chrono::steady_clock::time_point now)
 {
-    return std::none_of(state.m_peers.begin(), state.m_peers.end(), [&](const auto &peer) {
-        const PeerLink &link = state.m_links.at(peer.first);
-        return link.m_heard && now - link.m_heardAt < state.m_settings.m_suspectAfter;
+    return std::none_of(state.m_links.begin(), state.m_links.end(), [&](const auto &link) {
+        return link.second.m_heard && now - link.second.m_heardAt < state.m_settings.m_suspectAfter;
     });
 }
 
--- a/packages/membership/step/queries.h
+++ b/packages/membership/step/queries.h
@@ -23,7 +23,7 @@
 /** Returns true if the node has the table of another node. */
 bool hasJoined(const MembershipState &state);
 
-/** Returns true if no peer has been heard from within the suspicion time. */
+/** Returns true if no other node has been heard from within the suspicion time. */
 bool isIsolated(const MembershipState &state, std::chrono::steady_clock::time_point now);
 
 /** Returns clock fields for a message (e.g. a freshness word) to a peer. */
--- a/packages/membership/step/recordflow.cpp
+++ b/packages/membership/step/recordflow.cpp
@@ -170,7 +170,7 @@
 void flush(StepContext &context)
 {
     MembershipState &state = context.m_state;
-    const bool forwards = state.m_settings.m_disabledRule != DisabledRule::Forwarding;
+    const bool forwards = state.m_settings.m_disabledRule != DisabledRule::Dissemination;
     MemberEvents all;
     std::vector<NodeKey> origins;
     for (const PendingRecord &pending : state.m_pendingRecords) {
--- a/packages/membership/sync/reconciliation.cpp
+++ b/packages/membership/sync/reconciliation.cpp
@@ -30,7 +30,8 @@
 
 bool isDisabled(const MembershipState &state)
 {
-    return state.m_settings.m_disabledRule == DisabledRule::Reconciliation;
+    const DisabledRule rule = state.m_settings.m_disabledRule;
+    return rule == DisabledRule::Reconciliation || rule == DisabledRule::Dissemination;
 }
 
 } // namespace
