--- /dev/null
+++ b/packages/overload/threshold/carriedthreshold.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "overload/rank/rank.h"
+#include "overload/reason/reason.h"
+
+#include <chrono>
+#include <random>
+
+namespace chervilmount::overload {
+
+/** Share of the requests above the threshold that are sent on as probes. */
+constexpr double ProbeFraction = 0.01;
+
+/**
+ * A request above the threshold is also a probe if there was none for this time. On a route with
+ * little demand 1 % is too rare to notice within 2 s that the subtree admits again.
+ */
+constexpr std::chrono::milliseconds ProbeInterval{250};
+
+/** A threshold that was not confirmed for this time is no longer relied upon. */
+constexpr std::chrono::seconds ThresholdLifetime{1};
+
+/** Admission threshold that came back with responses of a subtree. */
+struct CarriedThreshold
+{
+    /** Highest rank number that the subtree admits. */
+    Rank m_rank = HighestRank;
+    /** When a response last confirmed the value. */
+    std::chrono::steady_clock::time_point m_confirmedAt;
+};
+
+/** Takes the value from a response or refusal. */
+void confirmThreshold(CarriedThreshold &threshold, Rank rank,
+                      std::chrono::steady_clock::time_point now);
+
+/**
+ * @returns the value in force: after each second without confirmation the distance to HighestRank
+ * is halved, and after 5 such seconds every rank is admitted.
+ */
+Rank thresholdNow(const CarriedThreshold &threshold, std::chrono::steady_clock::time_point now);
+
+/** @returns whether a response has confirmed the value within ThresholdLifetime. */
+bool isFresh(const CarriedThreshold &threshold, std::chrono::steady_clock::time_point now);
+
+/** What happens to a request at a threshold. */
+struct ThresholdDecision
+{
+    bool m_sendOn = true;
+    Reason m_reason = Reason::BelowThreshold;
+};
+
+/**
+ * Sends requests on up to the threshold, and of the rest only probes.
+ * @param lastProbe when the last probe for this service and route was sent; updated.
+ */
+ThresholdDecision decideByThreshold(Rank rank, Rank threshold,
+                                    std::chrono::steady_clock::time_point &lastProbe,
+                                    std::chrono::steady_clock::time_point now,
+                                    std::mt19937_64 &random);
+
+} // namespace chervilmount::overload
--- /dev/null
+++ b/packages/routing/choice/candidate.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "overload/names/nametable.h"
+#include "overload/threshold/carriedthreshold.h"
+#include "routing/outlier/outlier.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace chervilmount::routing {
+
+/** Where a backend server is, seen from the calling node. */
+enum class Place { SameFailureDomain, SameRegion, OtherRegion };
+constexpr int Places = 3;
+
+/** Bound of the candidates that one decision considers. */
+constexpr std::size_t LargestSubset = 64;
+
+/** A backend server as the member table describes it. */
+struct Member
+{
+    std::string m_nodeId;
+    Place m_place = Place::SameFailureDomain;
+    int m_slots = 1;
+    /** The node has said that it leaves, or its failure domain cannot be reached. */
+    bool m_excluded = false;
+};
+
+/** A backend server of the subset with what this node knows about it. */
+struct Candidate
+{
+    Member m_member;
+    std::chrono::steady_clock::time_point m_appearedAt;
+    /** Calls of this node that have not ended. */
+    int m_inFlight = 0;
+    /** Load from the newest response. @see overload::carriedLoad */
+    double m_load = 0.0;
+    std::chrono::steady_clock::time_point m_loadAt;
+    OutlierState m_outlier;
+    /** Threshold from responses, indexed by the route's number. */
+    std::vector<overload::CarriedThreshold> m_thresholds;
+};
+
+/** Settings of the choice of a backend server. */
+struct RoutingSettings
+{
+    OutlierSettings m_outlier;
+    std::size_t m_subsetSize = 16;
+    /** Weight of a backend server that has just appeared. */
+    double m_firstWeight = 0.1;
+    /** Time until it has its whole weight. */
+    std::chrono::nanoseconds m_slowStart = std::chrono::seconds{10};
+    /** Carried load halves after this age. */
+    std::chrono::nanoseconds m_loadHalfLife = std::chrono::milliseconds{200};
+};
+
+/** Candidates of one service at one calling node. */
+struct ServiceCandidates
+{
+    /** Ordered by place. */
+    std::vector<Candidate> m_candidates;
+    /** When the last probe above the threshold was sent, indexed by the route's number. */
+    std::vector<std::chrono::steady_clock::time_point> m_lastProbes;
+};
+
+/** @returns the weight in the draw: grows from the first weight to 1 during the slow start. */
+double drawWeight(const Candidate &candidate, const RoutingSettings &settings,
+                  std::chrono::steady_clock::time_point now);
+
+/** @returns (own calls in flight + aged carried load) / slots. */
+double loadPerSlot(const Candidate &candidate, const RoutingSettings &settings,
+                   std::chrono::steady_clock::time_point now);
+
+/** @returns the threshold of the candidate's subtree for a route. */
+overload::Rank candidateThreshold(const Candidate &candidate, overload::NameNumber route,
+                                  std::chrono::steady_clock::time_point now);
+
+/**
+ * Threshold of the service for a route, from the candidates that can be chosen and have confirmed
+ * theirs lately: HighestRank if one of them does not shed at all, so that calls go there; otherwise
+ * the median, since the highest of many noisy values admits too much. Without any fresh value, the
+ * highest of the aged ones.
+ */
+overload::Rank serviceThreshold(const ServiceCandidates &candidates, overload::NameNumber route,
+                                std::chrono::steady_clock::time_point now);
+
+/**
+ * Decides whether a request goes on to the service: at the entry, and at the node beside a backend
+ * server for each service that the backend server calls, before any work is done.
+ */
+overload::ThresholdDecision decideSend(ServiceCandidates &candidates, overload::NameNumber route,
+                                       overload::Rank rank,
+                                       std::chrono::steady_clock::time_point now,
+                                       std::mt19937_64 &random);
+
+} // namespace chervilmount::routing
