--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -113,3 +113,79 @@
         --expected-version "$3" publish "examples/$1/services.json" "examples/$1/domains.json" \
         "examples/$1/organisations.json"
 }
+
+# Each service has two backend servers, in two of the four failure domains and in both regions.
+# A service is name:slots:connections:service time in milliseconds:called services.
+addis_domains="addis-1 addis-2 dire-1 dire-2"
+addis_services="bundler:50:400:10:printhall printhall:50:400:20:slipdesk slipdesk:50:400:20:staffrolls staffrolls:20:200:40:"
+halvern_domains="north-1 north-2 south-1 south-2"
+halvern_services="orders:150:1000:15:catalogue,stock catalogue:150:1000:15:drawings drawings:150:1000:15:stock stock:30:300:30:"
+NODE_COUNT=8
+
+# read_layout EXAMPLE : sets DOMAINS and SERVICES.
+read_layout() {
+    local domains="$1_domains" services="$1_services"
+    read -r -a DOMAINS <<< "${!domains}"
+    read -r -a SERVICES <<< "${!services}"
+}
+
+# domain_of INDEX : prints the failure domain of a node; call read_layout first.
+domain_of() {
+    echo "${DOMAINS[$((($1 % 4 + $1 / 4 * 2) % 4))]}"
+}
+
+# start_backend_of BASE INDEX : starts the backend server of a node; call read_layout first.
+start_backend_of() {
+    local name slots connections milliseconds calls
+    IFS=: read -r name slots connections milliseconds calls <<< "${SERVICES[$(($2 % 4))]}"
+    start_backend "$1" "$2" "$name" "$slots" "$connections" "$milliseconds" "$calls"
+}
+
+# write_settings_of_all EXAMPLE BASE
+write_settings_of_all() {
+    local index
+    read_layout "$1"
+    for ((index = 0; index < NODE_COUNT; index++)); do
+        write_node_settings "$1" "$2" "$index" "$(domain_of "$index")" \
+            "[\"127.0.0.1:$(($2 + 400))\", \"127.0.0.1:$(($2 + 401))\"]"
+    done
+}
+
+# start_processes EXAMPLE BASE : starts platform, nodes and backend servers; sets NODE_PIDS.
+start_processes() {
+    local index
+    read_layout "$1"
+    NODE_PIDS=()
+    start_platform "$2"
+    for ((index = 0; index < NODE_COUNT; index++)); do
+        start_node "$2" "$index"
+        NODE_PIDS+=("$LAST_PID")
+        start_backend_of "$2" "$index"
+    done
+}
+
+# start_deployment EXAMPLE BASE : starts everything, publishes the example, waits until all are ready.
+start_deployment() {
+    local index
+    write_settings_of_all "$1" "$2"
+    start_processes "$1" "$2"
+    wait_until 15 node_is_healthy "$2" 0
+    publish_example "$1" "$2" 0
+    for ((index = 0; index < NODE_COUNT; index++)); do
+        wait_until 15 node_is_ready "$2" "$index"
+    done
+}
+
+# write_scenario EXAMPLE BASE SECONDS SURGE_PARTS : fills addresses and duration into the load of the
+# example. With SURGE_PARTS 3 the surge is the middle third; with 0 there is no surge.
+write_scenario() {
+    local base=$2 milliseconds=$(($3 * 1000)) index nodes="" backends="" start=0 end=0
+    for ((index = 0; index < NODE_COUNT; index++)); do
+        nodes="$nodes,\"127.0.0.1:$((base + 100 + index))\""
+        backends="$backends,\"127.0.0.1:$((base + 500 + index))\""
+    done
+    [ "$4" -eq 0 ] || { start=$((milliseconds / $4)); end=$((milliseconds * 2 / $4)); }
+    sed -e "s/\"@NODES@\"/${nodes#,}/" -e "s/\"@BACKENDS@\"/${backends#,}/" \
+        -e "s/\"@DURATION@\"/$milliseconds/" -e "s/\"@SURGE_START@\"/$start/" \
+        -e "s/\"@SURGE_END@\"/$end/" "examples/$1/load.template" > "$WORK/load-$1.json"
+}
