--- a/packages/adapters/adapters.h
+++ b/packages/adapters/adapters.h
@@ -10,6 +10,8 @@
 
 #include "adapters/http/httpconnection.h"
 #include "adapters/http/httplistener.h"
+#include "adapters/logging/decisionlog.h"
+#include "adapters/metrics/metrics.h"
 #include "adapters/peerlink/peertransport.h"
 #include "adapters/platform/platformclient.h"
 #include "adapters/tasks/signal.h"
--- /dev/null
+++ b/packages/adapters/logging/decisionlog.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chervilmount::adapters {
+
+/** One key=value field of a log line. */
+struct LogField
+{
+    std::string_view m_key;
+    std::string m_value;
+};
+
+/** Level of a log line. */
+enum class LogLevel { Debug, Info, Warn, Error };
+
+/**
+ * Sets up log4cxx once for the process: lines are written by a thread of their own, and lines that
+ * its buffer cannot take are discarded, so that logging never holds up the I/O thread.
+ * @param level "off", "error", "warn", "info" or "debug".
+ * @param file path of the log file; standard error if empty.
+ */
+void configureLog(const std::string &level, const std::string &file);
+
+/** Writes what is left and ends the thread. */
+void shutDownLog();
+
+/** @returns whether lines of this category and level are written. */
+bool isLogged(std::string_view category, LogLevel level);
+
+/**
+ * Writes one line of key=value fields.
+ * @param category name below "chervilmount", for example "route"; levels are set by category.
+ */
+void logLine(std::string_view category, LogLevel level, const std::vector<LogField> &fields);
+
+/** Formats fields as "key=value" separated by blanks; values with blanks or quotes are quoted. */
+std::string formatFields(const std::vector<LogField> &fields);
+
+} // namespace chervilmount::adapters
--- a/packages/adapters/platform/platformclient.cpp
+++ b/packages/adapters/platform/platformclient.cpp
@@ -26,9 +26,9 @@
         return PlatformStatus::Ok;
     if (status == 404)
         return PlatformStatus::Absent;
-    if (status >= 400 && status < 500)
+    // The protocol uses 503 only for requests that had no effect.
+    if ((status >= 400 && status < 500) || status == 503)
         return PlatformStatus::Refused;
-    // A 503 may come from a service that failed after the write took effect.
     return PlatformStatus::Unknown;
 }
 
--- a/packages/messages/codec/framecodec.cpp
+++ b/packages/messages/codec/framecodec.cpp
@@ -3,6 +3,7 @@
 #include <envelope.pb.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace chervilmount::messages {
 
@@ -37,6 +38,7 @@
     out.set_slots(load.m_slots);
     out.set_leaving(load.m_leaving);
     out.set_threshold(load.m_threshold);
+    out.set_load(load.m_load);
 }
 
 void write(const CallStart &frame, wire::Envelope &envelope)
@@ -59,6 +61,7 @@
     out.set_path_depth(static_cast<std::uint32_t>(frame.m_pathDepth));
     out.set_rank(frame.m_rank);
     out.set_once_only(frame.m_onceOnly);
+    out.set_repeat(frame.m_repeat);
 }
 
 void write(const CallBody &frame, wire::Envelope &envelope)
@@ -164,8 +167,9 @@
 
 bool read(const wire::LoadReport &in, LoadReport &load)
 {
-    if (in.threshold() > UINT16_MAX)
+    if (in.threshold() > UINT16_MAX || !std::isfinite(in.load()) || in.load() < 0.0)
         return false;
+    load.m_load = in.load();
     load.m_inFlight = in.in_flight();
     load.m_slots = in.slots();
     load.m_leaving = in.leaving();
@@ -200,6 +204,7 @@
     frame.m_pathDepth = static_cast<int>(in.path_depth());
     frame.m_rank = static_cast<std::uint16_t>(in.rank());
     frame.m_onceOnly = in.once_only();
+    frame.m_repeat = in.repeat();
     return frame;
 }
 
--- a/packages/messages/frames/frames.h
+++ b/packages/messages/frames/frames.h
@@ -54,6 +54,8 @@
     int m_pathDepth = 0;
     std::uint16_t m_rank = 0;
     bool m_onceOnly = false;
+    /** The call repeats an attempt that may have made nested calls. */
+    bool m_repeat = false;
 };
 
 /** A part of the request body. */
@@ -78,6 +80,8 @@
     bool m_leaving = false;
     /** Highest rank number that the subtree admits. */
     std::uint16_t m_threshold = UINT16_MAX;
+    /** Calls running and waiting, scaled by the announced slots over the limit. */
+    double m_load = 0.0;
 };
 
 /** Status and header fields of a response. */
--- a/packages/node/control/configurationstate.h
+++ b/packages/node/control/configurationstate.h
@@ -1,49 +1,50 @@
 #pragma once
 
-#include "model/configuration/configuration.h"
+#include "model/model.h"
 
+#include <chrono>
 #include <cstdint>
-#include <map>
 #include <memory>
+#include <optional>
 #include <string>
-#include <string_view>
 
 namespace chervilmount::node {
 
 /** One published version of the configuration, ready for look-ups. */
-struct ConfigurationVersion
+struct PublishedConfiguration
 {
-    std::uint64_t m_version = 0;
-    std::string m_hash;
-    /** The set as it was published. */
-    std::string m_text;
-    model::Configuration m_set;
-    /** Organisation by key digest. */
-    std::map<std::string, std::string, std::less<>> m_organisationByDigest;
-    /** Level by priority name. */
-    std::map<std::string, int, std::less<>> m_levelByPriority;
-};
+    explicit PublishedConfiguration(model::VersionedConfiguration set)
+        : m_set(std::move(set))
+        , m_index(m_set)
+    {
+    }
 
-/** Builds the look-up tables of a version. */
-std::shared_ptr<const ConfigurationVersion> makeVersion(std::uint64_t version, std::string hash,
-                                                        std::string text, model::Configuration set);
+    std::uint64_t version() const { return m_set.version().m_version; }
 
-/** @returns the first route that matches, by longest path prefix and then host; or nothing. */
-const model::Route *findRoute(const ConfigurationVersion &configuration, std::string_view host,
-                              std::string_view method, std::string_view target);
+    model::VersionedConfiguration m_set;
+    model::ConfigurationIndex m_index;
+};
 
 /** The version in force at this node; versions only move up. */
 class ConfigurationState
 {
 public:
     /** @returns the version in force, or nothing. */
-    const std::shared_ptr<const ConfigurationVersion> &current() const { return m_current; }
+    const std::shared_ptr<const PublishedConfiguration> &current() const { return m_current; }
 
     /** Puts a version in force. @returns false if the present one is as new. */
-    bool install(std::shared_ptr<const ConfigurationVersion> version);
+    bool install(model::VersionedConfiguration set);
+
+    /** Takes the proof that the present version was in force at the given time. */
+    void confirm(std::chrono::steady_clock::time_point provenAt);
+
+    /** @returns the age of the newest proof; nothing if there is none. */
+    std::optional<std::chrono::nanoseconds>
+    proofAge(std::chrono::steady_clock::time_point now) const;
 
 private:
-    std::shared_ptr<const ConfigurationVersion> m_current;
+    std::shared_ptr<const PublishedConfiguration> m_current;
+    std::optional<std::chrono::steady_clock::time_point> m_provenAt;
 };
 
 } // namespace chervilmount::node
--- a/packages/node/control/configurationstore.cpp
+++ b/packages/node/control/configurationstore.cpp
@@ -2,9 +2,9 @@
 
 #include "adapters/tasks/signal.h"
 #include "node/calls/requestids.h"
-#include "node/control/configurationjson.h"
-#include "node/control/keydigest.h"
 
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
 #include <utility>
@@ -21,9 +21,45 @@
 constexpr int ResolveAttempts = 10;
 constexpr std::chrono::milliseconds ResolveInterval{200};
 
-std::string objectName(std::uint64_t version, const std::string &hash)
+std::string objectName(std::uint64_t version, const model::Digest &hash)
 {
-    return "configuration/" + std::to_string(version) + "-" + hash;
+    return "configuration/" + std::to_string(version) + "-" + model::toHex(hash);
+}
+
+std::string objectText(const model::VersionedConfiguration &set)
+{
+    return boost::json::serialize(
+            boost::json::object{{"version", set.version().m_version},
+                                {"snapshot", model::toJson(set.configuration())}});
+}
+
+/** @returns the findings; empty if the set was read and checked. */
+model::Findings loadSet(std::string text, model::Configuration &set)
+{
+    try {
+        set = model::loadConfiguration({{"request", std::move(text)}}).m_configuration;
+    } catch (const model::FindingsError &error) {
+        return error.findings();
+    }
+    return {};
+}
+
+/** Reads a stored object; nothing if it is malformed or has another hash. */
+std::optional<model::VersionedConfiguration>
+readObject(const std::string &text, std::uint64_t version, const model::Digest &hash)
+{
+    try {
+        const boost::json::value document = boost::json::parse(text);
+        model::Findings findings;
+        const model::PlacedConfiguration placed =
+                model::readConfiguration(document.at("snapshot"), {}, findings);
+        model::VersionedConfiguration set(placed.m_configuration, version);
+        if (findings.empty() && set.version().m_hash == hash)
+            return set;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+    return std::nullopt;
 }
 
 } // namespace
@@ -46,7 +82,11 @@
         const boost::json::value &value = rows.m_rows.front().m_value;
         current.m_revision = rows.m_rows.front().m_revision;
         current.m_version = value.at("version").to_number<std::uint64_t>();
-        current.m_hash = std::string(value.at("hash").as_string());
+        const std::string hash(value.at("hash").as_string());
+        const std::optional<model::Digest> digest = model::digestFromHex(hash);
+        if (!digest)
+            throw std::invalid_argument("malformed hash in " + std::string(CurrentRowName));
+        current.m_hash = *digest;
         current.m_nonce = std::string(value.at("nonce").as_string());
     } catch (const std::exception &) {
         current.m_status = PlatformStatus::Unknown;
@@ -54,15 +94,28 @@
     co_return current;
 }
 
+boost::json::value ConfigurationStore::differenceSince(std::uint64_t expectedVersion,
+                                                       const model::Configuration &offered) const
+{
+    if (!m_state.current())
+        return nullptr;
+    // The set that was edited is not kept, so the difference is that of the offered set.
+    const model::VersionedConfiguration &present = m_state.current()->m_set;
+    return model::toJson(model::makeDelta(offered, expectedVersion, present.configuration(),
+                                          present.version().m_version));
+}
+
 adapters::Task<Publication> ConfigurationStore::publish(std::string text,
                                                         std::uint64_t expectedVersion)
 {
     Publication publication;
-    model::Configuration set = parseConfiguration(text, publication.m_findings);
+    model::Configuration set;
+    publication.m_findings = loadSet(std::move(text), set);
     if (!publication.m_findings.empty()) {
         publication.m_outcome = PublicationOutcome::Invalid;
         co_return publication;
     }
+    const std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
     const CurrentRow current = co_await readCurrent();
     if (current.m_status != PlatformStatus::Ok && current.m_status != PlatformStatus::Absent) {
         publication.m_reason = "table service unavailable";
@@ -71,21 +124,27 @@
     if (current.m_version != expectedVersion) {
         publication.m_outcome = PublicationOutcome::Conflict;
         publication.m_version = current.m_version;
+        co_await fetch(current);
+        publication.m_difference = differenceSince(expectedVersion, set);
         co_return publication;
     }
-    const std::string hash = sha256(text);
+    model::VersionedConfiguration next(std::move(set), expectedVersion + 1);
+    const model::Digest hash = next.version().m_hash;
     const std::string name = objectName(expectedVersion + 1, hash);
-    if (co_await m_platform.putObject(name, text) != PlatformStatus::Ok) {
+    const PlatformStatus stored = co_await m_platform.putObject(name, objectText(next));
+    if (stored != PlatformStatus::Ok) {
         publication.m_reason = "object store unavailable";
         co_return publication;
     }
     publication = co_await commit(current, hash);
-    if (publication.m_outcome == PublicationOutcome::Accepted)
-        m_state.install(makeVersion(publication.m_version, hash, std::move(text), std::move(set)));
+    if (publication.m_outcome == PublicationOutcome::Accepted) {
+        m_state.install(std::move(next));
+        m_state.confirm(startedAt);
+    }
     co_return publication;
 }
 
-adapters::Task<Publication> ConfigurationStore::commit(CurrentRow before, std::string hash)
+adapters::Task<Publication> ConfigurationStore::commit(CurrentRow before, model::Digest hash)
 {
     const std::string nonce = newToken();
     adapters::RowOperation write;
@@ -95,7 +154,7 @@
             : adapters::RowCondition::Revision;
     write.m_revision = before.m_revision;
     write.m_value = boost::json::object{
-            {"version", before.m_version + 1}, {"hash", hash}, {"nonce", nonce}};
+            {"version", before.m_version + 1}, {"hash", model::toHex(hash)}, {"nonce", nonce}};
     std::vector<adapters::RowOperation> operations{write};
     const adapters::TransactionResult result = co_await m_platform.transact(operations, true);
     Publication publication;
@@ -130,20 +189,31 @@
 
 adapters::Task<bool> ConfigurationStore::refresh()
 {
+    const std::chrono::steady_clock::time_point askedAt = std::chrono::steady_clock::now();
     const CurrentRow current = co_await readCurrent();
     if (current.m_status != PlatformStatus::Ok)
         co_return current.m_status == PlatformStatus::Absent;
-    if (m_state.current() && current.m_version <= m_state.current()->m_version)
+    const bool held = co_await fetch(current);
+    if (held)
+        m_state.confirm(askedAt);
+    co_return held;
+}
+
+adapters::Task<bool> ConfigurationStore::fetch(CurrentRow current)
+{
+    if (current.m_status != PlatformStatus::Ok)
+        co_return false;
+    if (m_state.current() && current.m_version <= m_state.current()->version())
         co_return true;
     const adapters::ObjectResult object =
             co_await m_platform.getObject(objectName(current.m_version, current.m_hash));
-    if (object.m_status != PlatformStatus::Ok || sha256(object.m_body) != current.m_hash)
+    if (object.m_status != PlatformStatus::Ok)
         co_return false;
-    model::Findings findings;
-    model::Configuration set = parseConfiguration(object.m_body, findings);
-    if (!findings.empty())
+    std::optional<model::VersionedConfiguration> set =
+            readObject(object.m_body, current.m_version, current.m_hash);
+    if (!set)
         co_return false;
-    m_state.install(makeVersion(current.m_version, current.m_hash, object.m_body, std::move(set)));
+    m_state.install(std::move(*set));
     co_return true;
 }
 
--- a/packages/node/control/configurationstore.h
+++ b/packages/node/control/configurationstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "adapters/platform/platformclient.h"
-#include "model/findings/finding.h"
+#include "model/model.h"
 #include "node/control/configurationstate.h"
 
 #include <cstdint>
@@ -27,6 +27,8 @@
     /** The published version, or the present one after a conflict. */
     std::uint64_t m_version = 0;
     model::Findings m_findings;
+    /** After a conflict, what the present version changes in the expected one. */
+    boost::json::value m_difference;
     std::string m_reason;
 };
 
@@ -52,12 +54,15 @@
         adapters::PlatformStatus m_status = adapters::PlatformStatus::Unknown;
         std::uint64_t m_revision = 0;
         std::uint64_t m_version = 0;
-        std::string m_hash;
+        model::Digest m_hash{};
         std::string m_nonce;
     };
 
     adapters::Task<CurrentRow> readCurrent();
-    adapters::Task<Publication> commit(CurrentRow before, std::string hash);
+    adapters::Task<bool> fetch(CurrentRow current);
+    adapters::Task<Publication> commit(CurrentRow before, model::Digest hash);
+    boost::json::value differenceSince(std::uint64_t expectedVersion,
+                                       const model::Configuration &offered) const;
 
     adapters::PlatformClient &m_platform;
     ConfigurationState &m_state;
--- a/packages/node/control/members.cpp
+++ b/packages/node/control/members.cpp
@@ -25,6 +25,7 @@
     m_own.m_slots = slots;
     m_own.m_state = stateNumber;
     ++m_own.m_version;
+    ++m_revision;
 }
 
 void Members::receive(const messages::MemberRecord &record,
@@ -36,25 +37,27 @@
     const auto known = std::pair(member.m_record.m_incarnation, member.m_record.m_version);
     if (std::pair(record.m_incarnation, record.m_version) < known)
         return;
+    if (std::pair(record.m_incarnation, record.m_version) != known)
+        ++m_revision;
     member.m_record = record;
     member.m_lastHeard = now;
 }
 
-std::vector<std::string> Members::candidates(const std::string &service,
-                                             const std::set<std::string> &excluded,
-                                             std::chrono::steady_clock::time_point now) const
+std::vector<messages::MemberRecord>
+Members::serving(const std::string &service, std::chrono::steady_clock::time_point now) const
 {
-    const auto serving = static_cast<std::uint32_t>(MemberState::Serving);
-    std::vector<std::string> addresses;
-    if (m_own.m_state == serving && m_own.m_service == service
-        && !excluded.contains(m_own.m_address))
-        addresses.push_back(m_own.m_address);
+    const auto isServing = [&service](const messages::MemberRecord &record) {
+        return record.m_state == static_cast<std::uint32_t>(MemberState::Serving)
+                && record.m_service == service;
+    };
+    std::vector<messages::MemberRecord> records;
+    if (isServing(m_own))
+        records.push_back(m_own);
     for (const auto &[address, member] : m_members) {
-        if (member.m_record.m_state == serving && member.m_record.m_service == service
-            && now - member.m_lastHeard < SilenceLimit && !excluded.contains(address))
-            addresses.push_back(address);
+        if (isServing(member.m_record) && now - member.m_lastHeard < SilenceLimit)
+            records.push_back(member.m_record);
     }
-    return addresses;
+    return records;
 }
 
 } // namespace chervilmount::node
--- a/packages/node/control/members.h
+++ b/packages/node/control/members.h
@@ -5,8 +5,6 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -37,15 +35,18 @@
     /** Takes a record that a peer sent about itself. */
     void receive(const messages::MemberRecord &record, std::chrono::steady_clock::time_point now);
 
-    /** @returns addresses of the serving members of a service that were heard of lately. */
-    std::vector<std::string> candidates(const std::string &service,
-                                        const std::set<std::string> &excluded,
-                                        std::chrono::steady_clock::time_point now) const;
+    /** @returns the serving members of a service that were heard of lately. */
+    std::vector<messages::MemberRecord> serving(const std::string &service,
+                                                std::chrono::steady_clock::time_point now) const;
+
+    /** @returns a number that changes when a member appears or its record changes. */
+    std::uint64_t revision() const { return m_revision; }
 
     const std::map<std::string, Member> &all() const { return m_members; }
 
 private:
     messages::MemberRecord m_own;
+    std::uint64_t m_revision = 0;
     std::map<std::string, Member> m_members;
 };
 
--- a/packages/node/control/operatorapi.cpp
+++ b/packages/node/control/operatorapi.cpp
@@ -1,7 +1,9 @@
 #include "node/control/operatorapi.h"
 
+#include "node/calls/requestids.h"
+#include "node/control/operatorviews.h"
 #include "node/entry/replies.h"
-#include "node/runtime/node.h"
+#include "node/runtime/nodeparts.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -36,19 +38,6 @@
     return std::nullopt;
 }
 
-json::array toJson(const model::Findings &findings)
-{
-    json::array list;
-    for (const model::Finding &finding : findings) {
-        list.push_back(json::object{{"source", finding.m_source},
-                                    {"pointer", finding.m_pointer},
-                                    {"value", finding.m_value},
-                                    {"problem", finding.m_problem},
-                                    {"remedy", finding.m_remedy}});
-    }
-    return list;
-}
-
 adapters::Task<> sendPublication(adapters::HttpExchange &exchange, Publication publication)
 {
     json::object body;
@@ -60,11 +49,13 @@
         break;
     case PublicationOutcome::Conflict:
         status = 409;
-        body = {{"outcome", "conflict"}, {"version", publication.m_version}};
+        body = {{"outcome", "conflict"},
+                {"version", publication.m_version},
+                {"difference", publication.m_difference}};
         break;
     case PublicationOutcome::Invalid:
         status = 422;
-        body = {{"outcome", "invalid"}, {"findings", toJson(publication.m_findings)}};
+        body = {{"outcome", "invalid"}, {"findings", findingsJson(publication.m_findings)}};
         break;
     case PublicationOutcome::Unknown:
         body = {{"outcome", "unknown"}, {"reason", publication.m_reason}};
@@ -76,7 +67,7 @@
     co_await sendJson(exchange, status, json::serialize(body));
 }
 
-adapters::Task<> publish(Node &node, adapters::HttpExchange &exchange)
+adapters::Task<> publish(NodeParts &parts, adapters::HttpExchange &exchange)
 {
     const auto expected = queryNumber(exchange.request().m_target, "expectedVersion");
     if (!expected) {
@@ -89,56 +80,71 @@
         co_await sendJson(exchange, 413, R"({"reason":"the body is too large or incomplete"})");
         co_return;
     }
-    Publication publication = co_await node.configurationStore().publish(text, *expected);
+    Publication publication = co_await parts.m_configurationStore.publish(text, *expected);
     co_await sendPublication(exchange, publication);
 }
 
-std::string configurationText(const Node &node)
+constexpr std::string_view RequestPath = "/operators/requests/";
+
+adapters::Task<> sendRequestView(NodeParts &parts, adapters::HttpExchange &exchange,
+                                 std::string idText)
+{
+    const std::optional<model::RequestId> id = requestIdFromHex(idText);
+    const std::vector<RecordedDecision> *decisions = id ? parts.m_recorder.find(*id) : nullptr;
+    if (decisions == nullptr)
+        co_await sendJson(exchange, 404, R"({"reason":"the request is not known here"})");
+    else
+        co_await sendJson(exchange, 200, requestView(idText, *decisions));
+}
+
+adapters::Task<> sendMetrics(NodeParts &parts, adapters::HttpExchange &exchange)
 {
-    const auto &current = node.configuration().current();
-    json::object body{{"version", current->m_version}, {"hash", current->m_hash}};
-    body["set"] = json::parse(current->m_text);
-    return json::serialize(body);
+    adapters::HttpResponseHead head;
+    head.m_status = 200;
+    head.m_fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    const std::string text = metricsText(parts);
+    co_await exchange.respond(head, text);
 }
 
-std::string membersText(const Node &node)
+adapters::Task<> handleGet(NodeParts &parts, adapters::HttpExchange &exchange, std::string path)
 {
-    json::array list;
-    for (const auto &[address, member] : node.members().all()) {
-        list.push_back(json::object{{"failureDomain", member.m_record.m_failureDomain},
-                                    {"address", address},
-                                    {"incarnation", member.m_record.m_incarnation},
-                                    {"service", member.m_record.m_service},
-                                    {"slots", member.m_record.m_slots},
-                                    {"state", member.m_record.m_state}});
+    if (path == "/health") {
+        co_await sendJson(exchange, 200, R"({"status":"alive"})");
+    } else if (path == "/ready") {
+        const bool ready = isReady(parts);
+        co_await sendJson(exchange, ready ? 200 : 503,
+                          ready ? R"({"ready":true})" : R"({"ready":false})");
+    } else if (path == "/metrics") {
+        co_await sendMetrics(parts, exchange);
+    } else if (path == "/operators/configuration") {
+        const std::string view = configurationView(parts);
+        co_await sendJson(exchange, view.empty() ? 404 : 200,
+                          view.empty() ? R"({"reason":"no configuration"})" : view);
+    } else if (path == "/operators/members") {
+        co_await sendJson(exchange, 200, membersView(parts));
+    } else if (path == "/operators/limits") {
+        co_await sendJson(exchange, 200, limitsView(parts));
+    } else if (path == "/operators/routes") {
+        co_await sendJson(exchange, 200, routesView(parts));
+    } else if (path.starts_with(RequestPath)) {
+        co_await sendRequestView(parts, exchange, path.substr(RequestPath.size()));
+    } else {
+        co_await sendJson(exchange, 404, R"({"reason":"no such resource"})");
     }
-    return json::serialize(json::object{{"members", std::move(list)}});
 }
 
 } // namespace
 
-adapters::Task<> handleOperator(Node &node, adapters::HttpExchange &exchange)
+adapters::Task<> handleOperator(NodeParts &parts, adapters::HttpExchange &exchange)
 {
     const adapters::HttpRequestHead &request = exchange.request();
     const std::string path = request.m_target.substr(0, request.m_target.find('?'));
-    const bool get = request.m_method == "GET";
-    if (get && path == "/health") {
-        co_await sendJson(exchange, 200, R"({"status":"alive"})");
-    } else if (get && path == "/ready") {
-        const bool ready = node.configuration().current() && !node.isLeaving();
-        co_await sendJson(exchange, ready ? 200 : 503,
-                          ready ? R"({"ready":true})" : R"({"ready":false})");
+    if (request.m_method == "GET") {
+        co_await handleGet(parts, exchange, path);
     } else if (request.m_method == "POST" && path == "/operators/configuration") {
-        co_await publish(node, exchange);
-    } else if (get && path == "/operators/configuration") {
-        if (node.configuration().current())
-            co_await sendJson(exchange, 200, configurationText(node));
-        else
-            co_await sendJson(exchange, 404, R"({"reason":"no configuration"})");
-    } else if (get && path == "/operators/members") {
-        co_await sendJson(exchange, 200, membersText(node));
+        co_await publish(parts, exchange);
     } else if (request.m_method == "POST" && path == "/operators/drain") {
-        node.stop();
+        parts.m_stop();
         co_await sendJson(exchange, 200, R"({"outcome":"draining"})");
     } else {
         co_await sendJson(exchange, 404, R"({"reason":"no such resource"})");
--- a/packages/node/control/operatorapi.h
+++ b/packages/node/control/operatorapi.h
@@ -4,9 +4,9 @@
 
 namespace chervilmount::node {
 
-class Node;
+struct NodeParts;
 
 /** Answers a request of the operators' listener. */
-adapters::Task<> handleOperator(Node &node, adapters::HttpExchange &exchange);
+adapters::Task<> handleOperator(NodeParts &parts, adapters::HttpExchange &exchange);
 
 } // namespace chervilmount::node
--- /dev/null
+++ b/packages/node/control/operatorviews.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "model/findings/finding.h"
+#include "node/record/decisionrecorder.h"
+
+#include <boost/json/array.hpp>
+
+#include <string>
+#include <vector>
+
+namespace chervilmount::node {
+
+struct NodeParts;
+
+/** @returns whether the node can serve: it has a configuration with a valid proof and stays. */
+bool isReady(const NodeParts &parts);
+
+/** @returns findings as JSON. */
+boost::json::array findingsJson(const model::Findings &findings);
+
+/** Each returns a JSON text for operators. @{ */
+/** Version, hash and set in force; empty if there is none. */
+std::string configurationView(const NodeParts &parts);
+std::string membersView(const NodeParts &parts);
+std::string limitsView(const NodeParts &parts);
+std::string routesView(const NodeParts &parts);
+std::string requestView(const std::string &id, const std::vector<RecordedDecision> &decisions);
+/** @} */
+
+/** @returns all metrics in the text exposition format; brings the gauges up to date first. */
+std::string metricsText(NodeParts &parts);
+
+} // namespace chervilmount::node
--- a/packages/node/entry/bodysource.cpp
+++ b/packages/node/entry/bodysource.cpp
@@ -10,6 +10,24 @@
 {
 }
 
+adapters::Task<BodyRead> BodySource::readWhole(std::size_t maximumBytes)
+{
+    constexpr std::size_t Step = 32 * 1024;
+    m_replayBytes = maximumBytes;
+    std::string part;
+    for (;;) {
+        const BodyRead result = co_await read(part, Step);
+        if (m_overflowed)
+            co_return BodyRead::TooLarge;
+        if (result == BodyRead::End)
+            break;
+        if (result != BodyRead::Data)
+            co_return result;
+    }
+    m_position = 0;
+    co_return BodyRead::Data;
+}
+
 bool BodySource::rewind()
 {
     m_position = 0;
--- a/packages/node/entry/bodysource.h
+++ b/packages/node/entry/bodysource.h
@@ -15,6 +15,16 @@
     /** @param replayBytes bodies up to this size can be sent again. */
     BodySource(adapters::HttpExchange &exchange, std::size_t replayBytes);
 
+    /**
+     * Reads the whole body and keeps it.
+     * @param maximumBytes largest body that is kept.
+     * @returns Data on success.
+     */
+    adapters::Task<adapters::HttpExchange::BodyRead> readWhole(std::size_t maximumBytes);
+
+    /** @returns the part of the body that is kept. */
+    const std::string &kept() const { return m_kept; }
+
     /** Starts again from the beginning. @returns false if the beginning was not kept. */
     bool rewind();
 
--- a/packages/node/entry/callerrequests.cpp
+++ b/packages/node/entry/callerrequests.cpp
@@ -1,8 +1,7 @@
 #include "node/entry/callerrequests.h"
 
-#include "node/control/keydigest.h"
-
 #include <algorithm>
+#include <optional>
 
 namespace chervilmount::node {
 
@@ -12,22 +11,95 @@
 constexpr std::string_view ReservedPrefix = "chervilmount-";
 constexpr std::chrono::milliseconds DefaultRetryDelay{1000};
 
+// Longer request keys are cut before they are hashed into the claim row's name.
+constexpr std::size_t MaximumKeyCharacters = 256;
+
 bool hasReservedPrefix(std::string_view name)
 {
     return name.size() > ReservedPrefix.size()
             && adapters::equalNames(name.substr(0, ReservedPrefix.size()), ReservedPrefix);
 }
 
-const std::string *findOrganisation(const ConfigurationVersion &configuration,
-                                    const std::string &digestKeyText,
-                                    std::string_view authorization)
+const model::Key *findKey(const PublishedConfiguration &configuration,
+                          const model::KeyDigester &digester, std::string_view authorization)
 {
     if (authorization.size() <= BearerPrefix.size()
         || !adapters::equalNames(authorization.substr(0, BearerPrefix.size()), BearerPrefix))
         return nullptr;
-    const std::string digest = digestKey(digestKeyText, authorization.substr(BearerPrefix.size()));
-    const auto place = configuration.m_organisationByDigest.find(digest);
-    return place == configuration.m_organisationByDigest.end() ? nullptr : &place->second;
+    return configuration.m_index.keys().find(
+            digester.digest(authorization.substr(BearerPrefix.size())));
+}
+
+/** Rate of the organisation's share in this failure domain, in requests a second. */
+double shareRate(const PublishedConfiguration &configuration,
+                 const model::Organisation &organisation, const std::string &failureDomain)
+{
+    for (const model::BaseShare &share : organisation.m_shares) {
+        if (share.m_failureDomain == failureDomain)
+            return organisation.m_rate * share.m_fraction;
+    }
+    const std::size_t domains = configuration.m_set.configuration().m_failureDomains.size();
+    if (!organisation.m_shares.empty() || domains == 0)
+        return organisation.m_rate;
+    return organisation.m_rate / static_cast<double>(domains);
+}
+
+std::optional<RefusalReply> checkFreshness(const EntryInput &input,
+                                           const model::Organisation *organisation)
+{
+    std::chrono::nanoseconds bound = FreshnessBound;
+    if (organisation != nullptr)
+        bound += organisation->m_servesWithoutProof;
+    if (input.m_proofAge && *input.m_proofAge <= bound)
+        return std::nullopt;
+    return RefusalReply{503, true, "configuration-not-proven", DefaultRetryDelay};
+}
+
+int levelOf(const PublishedConfiguration &configuration, const std::string &priority)
+{
+    const model::Priority *found = configuration.m_index.priority(priority);
+    return found == nullptr ? model::PriorityLevels - 1 : found->m_level;
+}
+
+int countRepeats(EntryState &state, const EntryInput &input, const adapters::HttpRequestHead &head,
+                 const std::string &organisation)
+{
+    std::string_view key = head.field("Idempotency-Key");
+    if (key.empty())
+        key = head.field("Chervilmount-Request-Key");
+    return key.empty() ? 0 : state.m_repeats.count(organisation, key, input.m_now);
+}
+
+void setRank(EntryState &state, const EntryInput &input, const model::Organisation *organisation,
+             CallPlan &plan)
+{
+    int level = 0;
+    if (organisation != nullptr) {
+        const double used = overload::recordUse(state.m_usage[organisation->m_name], input.m_now);
+        level = overload::overUseLevel(
+                used, shareRate(*input.m_configuration, *organisation, input.m_failureDomain),
+                plan.m_callerRepeats);
+    }
+    plan.m_context.m_rank =
+            overload::makeRank(plan.m_context.m_priority, level, plan.m_context.m_requestId);
+}
+
+/** Refusals that depend on the route, key and head alone. */
+std::optional<RefusalReply> checkRequest(const EntryInput &input, const model::Route &route,
+                                         const model::Key *key,
+                                         const adapters::HttpRequestHead &head)
+{
+    if (key == nullptr && !route.m_open)
+        return RefusalReply{401, true, "unknown-key", {}};
+    if (head.m_bodyBytes.value_or(0) > route.m_maximumBodyBytes)
+        return RefusalReply{413, true, "body-too-large", {}};
+    const std::string_view idempotencyKey = head.field("Idempotency-Key");
+    if (route.m_execution == model::Execution::OnceOnly
+        && (idempotencyKey.empty() || idempotencyKey.size() > MaximumKeyCharacters))
+        return RefusalReply{400, true, "idempotency-key-missing", {}};
+    if (route.m_open)
+        return std::nullopt;
+    return checkFreshness(input, input.m_configuration->m_index.organisation(key->m_organisation));
 }
 
 } // namespace
@@ -40,38 +112,38 @@
     });
 }
 
-EntryDecision decideEntry(const ConfigurationVersion *configuration, const std::string &digestKey,
-                          const adapters::HttpRequestHead &head, model::RequestId id,
-                          std::chrono::steady_clock::time_point now)
+EntryDecision decideCaller(EntryState &state, const EntryInput &input,
+                           const model::KeyDigester &digester,
+                           const adapters::HttpRequestHead &head)
 {
-    if (configuration == nullptr)
+    if (input.m_configuration == nullptr)
         return RefusalReply{503, true, "no-configuration", DefaultRetryDelay};
+    const PublishedConfiguration &configuration = *input.m_configuration;
     const model::Route *route =
-            findRoute(*configuration, head.field("Host"), head.m_method, head.m_target);
+            configuration.m_index.routes().find(head.field("Host"), head.m_method, head.m_target);
     if (route == nullptr)
         return RefusalReply{404, true, "no-route", {}};
+    const model::Key *key = findKey(configuration, digester, head.field("Authorization"));
+    if (std::optional<RefusalReply> refusal = checkRequest(input, *route, key, head))
+        return *refusal;
     CallPlan plan;
-    const std::string *organisation =
-            findOrganisation(*configuration, digestKey, head.field("Authorization"));
-    if (organisation == nullptr && !route->m_open)
-        return RefusalReply{401, true, "unknown-key", {}};
-    if (head.m_bodyBytes.value_or(0) > route->m_maximumBodyBytes)
-        return RefusalReply{413, true, "body-too-large", {}};
-    plan.m_context.m_requestId = id;
-    plan.m_context.m_organisation = organisation == nullptr ? "" : *organisation;
-    const auto level = configuration->m_levelByPriority.find(route->m_priority);
-    plan.m_context.m_priority = level == configuration->m_levelByPriority.end()
-            ? model::PriorityLevels - 1
-            : level->second;
-    plan.m_context.m_deadline = now + route->m_timeout;
+    plan.m_context.m_requestId = input.m_id;
+    plan.m_context.m_organisation = key == nullptr ? "" : key->m_organisation;
+    plan.m_context.m_priority = levelOf(configuration, route->m_priority);
+    plan.m_context.m_deadline = input.m_now + route->m_timeout;
     plan.m_context.m_extraAttempts = route->m_extraAttempts;
     plan.m_context.m_onceOnly = route->m_execution == model::Execution::OnceOnly;
-    if (plan.m_context.m_onceOnly && head.field("Idempotency-Key").empty())
-        return RefusalReply{400, true, "idempotency-key-missing", {}};
     plan.m_service = route->m_service;
     plan.m_route = route->m_name;
+    plan.m_crossRegion = route->m_crossRegion;
+    const model::Service *service = configuration.m_index.service(route->m_service);
+    if (service != nullptr && service->m_calls.empty())
+        plan.m_nestedCalls = overload::NestedCalls::None;
     plan.m_head = head;
     plan.m_maximumBodyBytes = route->m_maximumBodyBytes;
+    plan.m_idempotencyKey = std::string(head.field("Idempotency-Key"));
+    plan.m_callerRepeats = countRepeats(state, input, head, plan.m_context.m_organisation);
+    setRank(state, input, configuration.m_index.organisation(plan.m_context.m_organisation), plan);
     removeReservedFields(plan.m_head.m_fields);
     return plan;
 }
--- a/packages/node/entry/callplan.h
+++ b/packages/node/entry/callplan.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http/httpmessage.h"
 #include "model/request/requestcontext.h"
+#include "overload/overload.h"
 
 #include <chrono>
 #include <cstdint>
@@ -15,9 +16,16 @@
     model::RequestContext m_context;
     std::string m_service;
     std::string m_route;
+    bool m_crossRegion = false;
+    /** Whether the called service makes nested calls itself. */
+    overload::NestedCalls m_nestedCalls = overload::NestedCalls::Possible;
+    /** Earlier repeats of the request by its caller. */
+    int m_callerRepeats = 0;
     /** Head for the backend server, without the caller's key. */
     adapters::HttpRequestHead m_head;
     std::uint64_t m_maximumBodyBytes = 0;
+    /** Key of a once-only request. */
+    std::string m_idempotencyKey;
 };
 
 /** Why a request is answered without a response of a backend server. */
--- a/packages/node/entry/callrunner.cpp
+++ b/packages/node/entry/callrunner.cpp
@@ -1,13 +1,10 @@
 #include "node/entry/callrunner.h"
 
 #include "messages/codec/framecodec.h"
+#include "node/calls/bodychecksum.h"
 #include "node/calls/requestids.h"
-#include "node/entry/replies.h"
-
-#include <xxhash.h>
 
 #include <algorithm>
-#include <memory>
 #include <utility>
 
 namespace chervilmount::node {
@@ -15,14 +12,10 @@
 namespace {
 
 using BodyRead = adapters::HttpExchange::BodyRead;
+using std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds DefaultRetryDelay{200};
 
-struct FreeChecksum
-{
-    void operator()(XXH3_state_t *state) const { XXH3_freeState(state); }
-};
-
 } // namespace
 
 struct CallRunner::Attempt
@@ -30,29 +23,50 @@
     adapters::HttpExchange &m_exchange;
     BodySource &m_body;
     const CallPlan &m_plan;
+    ResponseCopy *m_copy = nullptr;
+    std::string m_node;
+    overload::AttemptAllowance m_allowance;
     std::shared_ptr<OutgoingCall> m_call;
     RefusalReply m_refusal;
-    /** False for failures that a further attempt must not follow. */
-    bool m_retryable = true;
-    int m_unusedExtraAttempts = 0;
+    overload::Failure m_failure = overload::Failure::MayHaveRun;
 
     bool callerGone() const { return m_exchange.isDisconnected(); }
-    bool late() const { return std::chrono::steady_clock::now() >= m_plan.m_context.m_deadline; }
+    bool late() const { return steady_clock::now() >= m_plan.m_context.m_deadline; }
+    std::optional<messages::LoadReport> load() const
+    {
+        if (m_call->m_end)
+            return m_call->m_end->m_load;
+        if (m_call->m_refusal)
+            return m_call->m_refusal->m_load;
+        if (m_call->m_head)
+            return m_call->m_head->m_load;
+        return std::nullopt;
+    }
+    int unused() const
+    {
+        if (m_call->m_end)
+            return m_call->m_end->m_unusedExtraAttempts;
+        if (m_call->m_refusal)
+            return m_call->m_refusal->m_unusedExtraAttempts;
+        return m_call->m_undelivered ? m_allowance.m_extraAttempts : 0;
+    }
 };
 
-CallRunner::CallRunner(OutgoingCalls &calls, ChooseNode choose, std::size_t replayBytes)
+CallRunner::CallRunner(OutgoingCalls &calls, ServiceRouter &router, DecisionRecorder &recorder,
+                       std::mt19937_64 &random)
     : m_calls(calls)
-    , m_choose(std::move(choose))
-    , m_replayBytes(replayBytes)
+    , m_router(router)
+    , m_recorder(recorder)
+    , m_random(random)
 {
 }
 
-messages::CallStart CallRunner::makeStart(const CallPlan &plan, int attemptNumber,
-                                          int handedOver) const
+messages::CallStart CallRunner::makeStart(const CallPlan &plan, int number,
+                                          const overload::AttemptAllowance &allowance) const
 {
     messages::CallStart start;
     start.m_key.m_requestId = plan.m_context.m_requestId;
-    start.m_key.m_attempt = static_cast<std::uint32_t>(attemptNumber);
+    start.m_key.m_attempt = static_cast<std::uint32_t>(number);
     start.m_service = plan.m_service;
     start.m_route = plan.m_route;
     start.m_method = plan.m_head.m_method;
@@ -63,91 +77,161 @@
     start.m_bodyBytes = plan.m_head.m_bodyBytes;
     start.m_organisation = plan.m_context.m_organisation;
     start.m_priority = plan.m_context.m_priority;
-    start.m_remaining = std::chrono::duration_cast<std::chrono::microseconds>(
-            plan.m_context.m_deadline - std::chrono::steady_clock::now());
-    start.m_extraAttempts = handedOver;
+    const steady_clock::time_point now = steady_clock::now();
+    start.m_remaining =
+            std::chrono::duration_cast<std::chrono::microseconds>(overload::remainingTime(
+                    overload::deadlineForCallee(plan.m_context.m_deadline, now), now));
+    start.m_extraAttempts = allowance.m_extraAttempts;
+    start.m_repeat = allowance.m_repeat;
     start.m_pathDepth = plan.m_context.m_pathDepth;
     start.m_rank = plan.m_context.m_rank;
     start.m_onceOnly = plan.m_context.m_onceOnly;
     return start;
 }
 
-adapters::Task<CallOutcome> CallRunner::run(adapters::HttpExchange &exchange, CallPlan plan)
+adapters::Task<CallOutcome> CallRunner::run(adapters::HttpExchange &exchange, BodySource &body,
+                                            CallPlan plan, overload::AttemptAllowance &own,
+                                            ResponseCopy *copy)
 {
     CallOutcome outcome;
-    BodySource body(exchange, m_replayBytes);
-    exchange.limitBody(plan.m_maximumBodyBytes);
-    std::set<std::string> excluded;
-    RefusalReply refusal{503, true, "no-backend-server", DefaultRetryDelay};
-    // Extra attempts that are still held here; the rest is with the subtree of the attempt.
-    int held = plan.m_context.m_extraAttempts;
+    RefusalReply refusal{503, true, "no-candidate", DefaultRetryDelay};
+    RouteRequest request{
+            plan.m_service, plan.m_route, plan.m_context.m_rank, plan.m_crossRegion, {}};
+    std::optional<overload::AttemptAllowance> allowance =
+            overload::allowFirstAttempt(own, plan.m_nestedCalls);
+    if (!allowance) {
+        refusal.m_reason = overload::toText(overload::Reason::NoExtraAttemptsLeft);
+        outcome.m_refusal = refusal;
+        co_return outcome;
+    }
+    bool sent = false;
     for (int number = 0;; ++number) {
-        const std::optional<std::string> node = m_choose(plan, excluded);
-        if (!node)
+        const ChosenNode chosen = m_router.choose(request, steady_clock::now(), m_random);
+        m_recorder.record(plan.m_context.m_requestId, "route",
+                          {{"decision", chosen.m_address.empty() ? "none" : "send"},
+                           {"service", plan.m_service},
+                           {"route", plan.m_route},
+                           {"node", chosen.m_address},
+                           {"attempt", std::to_string(number)},
+                           {"reason", std::string(overload::toText(chosen.m_reason))}});
+        if (chosen.m_address.empty()) {
+            own.m_extraAttempts += allowance->m_extraAttempts;
+            if (!sent)
+                refusal.m_reason = overload::toText(chosen.m_reason);
             break;
-        if (number > 0)
-            --held;
-        const int handedOver = held / 2;
-        held -= handedOver;
-        excluded.insert(*node);
-        outcome.m_node = *node;
+        }
+        sent = true;
         ++outcome.m_attempts;
-        Attempt current{exchange, body, plan, {}, refusal, true, 0};
-        current.m_call = m_calls.start({false, *node}, makeStart(plan, number, handedOver));
+        m_recorder.metrics().add("chervilmount_attempts_total",
+                                 {{"number", std::to_string(number)}});
+        Attempt current{exchange, body, plan, copy, chosen.m_address, *allowance, {}, refusal};
+        current.m_call =
+                m_calls.start({false, chosen.m_address}, makeStart(plan, number, *allowance));
         const AttemptEnd end = co_await attempt(current);
         m_calls.finish(current.m_call);
-        held += std::min(current.m_unusedExtraAttempts, handedOver);
-        outcome.m_unusedExtraAttempts = held;
+        reportEnd(current, end);
+        if (const std::optional<messages::LoadReport> load = current.load())
+            outcome.m_threshold = std::min(outcome.m_threshold, load->m_threshold);
+        overload::takeBackUnused(own, *allowance, current.unused());
         refusal = current.m_refusal;
         if (end == AttemptEnd::Answered) {
             outcome.m_status = current.m_call->m_head->m_status;
             co_return outcome;
         }
         if (end == AttemptEnd::CallerGone) {
-            outcome.m_reason = "caller-gone";
             exchange.abort();
             co_return outcome;
         }
-        const bool mayRepeat = refusal.m_notRun || !plan.m_context.m_onceOnly;
-        if (end == AttemptEnd::CallerBodyFailed || !current.m_retryable || !mayRepeat || held == 0
-            || current.late() || !body.rewind())
+        request.m_tried.insert(chosen.m_address);
+        // Retries do not use the paid link.
+        request.m_crossRegion = false;
+        if (end == AttemptEnd::CallerBodyFailed || !body.rewind())
+            break;
+        const overload::RetryDecision retry = decideRetry(current, own);
+        if (!retry.m_allowance)
             break;
+        allowance = retry.m_allowance;
+        co_await adapters::sleepFor(retry.m_delay);
     }
     outcome.m_status = refusal.m_status;
-    outcome.m_refused = true;
-    outcome.m_reason = refusal.m_reason;
-    co_await sendRefusal(exchange, refusal, plan.m_context.m_requestId);
+    outcome.m_refusal = refusal;
     co_return outcome;
 }
 
+overload::RetryDecision CallRunner::decideRetry(const Attempt &attempt,
+                                                overload::AttemptAllowance &own)
+{
+    const CallPlan &plan = attempt.m_plan;
+    overload::FailedAttempt failed;
+    failed.m_failure = attempt.m_failure;
+    failed.m_onceOnly = plan.m_context.m_onceOnly;
+    failed.m_nestedCalls = plan.m_nestedCalls;
+    failed.m_deadline = plan.m_context.m_deadline;
+    const overload::RetryDecision decision = overload::decideRetry(
+            failed, own, m_router.budget(plan.m_service), {}, steady_clock::now(), m_random);
+    m_recorder.record(plan.m_context.m_requestId, "retry",
+                      {{"decision", decision.m_allowance ? "retry" : "stop"},
+                       {"reason", std::string(overload::toText(decision.m_reason))},
+                       {"failure", attempt.m_refusal.m_reason}});
+    return decision;
+}
+
+void CallRunner::reportEnd(const Attempt &attempt, AttemptEnd end)
+{
+    routing::AttemptResult result = routing::AttemptResult::NotCounted;
+    const OutgoingCall &call = *attempt.m_call;
+    if (end == AttemptEnd::Answered)
+        result = call.m_head->m_status < 500 ? routing::AttemptResult::Success
+                                             : routing::AttemptResult::NotCounted;
+    else if (end == AttemptEnd::Failed && !call.m_refusal && attempt.late())
+        result = routing::AttemptResult::Timeout;
+    else if (end == AttemptEnd::Failed && (!call.m_refusal || !call.m_refusal->m_notRun))
+        result = routing::AttemptResult::Failure;
+    m_router.finish(attempt.m_plan.m_service, attempt.m_plan.m_route, attempt.m_node, result,
+                    attempt.load(), steady_clock::now());
+}
+
 adapters::Task<CallRunner::AttemptEnd> CallRunner::attempt(Attempt &attempt)
 {
     OutgoingCall &call = *attempt.m_call;
-    if (attempt.m_plan.m_head.m_hasBody && !co_await sendBody(attempt))
-        co_return AttemptEnd::CallerBodyFailed;
+    if (attempt.m_plan.m_head.m_hasBody) {
+        const bool sent = co_await sendBody(attempt);
+        if (!sent)
+            co_return AttemptEnd::CallerBodyFailed;
+    }
     if (attempt.m_exchange.bodyRead())
         attempt.m_exchange.watchDisconnect(call.m_changed);
     co_await waitForAnswer(attempt);
     attempt.m_exchange.stopWatching();
     if (attempt.callerGone())
         co_return AttemptEnd::CallerGone;
-    if (call.m_head)
-        co_return co_await streamAnswer(attempt) ? AttemptEnd::Answered : AttemptEnd::CallerGone;
+    if (!call.m_head) {
+        explainFailure(attempt);
+        co_return AttemptEnd::Failed;
+    }
+    const bool answered = co_await streamAnswer(attempt);
+    co_return answered ? AttemptEnd::Answered : AttemptEnd::CallerGone;
+}
+
+void CallRunner::explainFailure(Attempt &attempt) const
+{
+    const OutgoingCall &call = *attempt.m_call;
     if (call.m_refusal) {
-        attempt.m_refusal = {call.m_refusal->m_status, call.m_refusal->m_notRun,
-                             call.m_refusal->m_reason, call.m_refusal->m_retryAfter};
-        attempt.m_retryable = call.m_refusal->m_retryable;
-        attempt.m_unusedExtraAttempts = call.m_refusal->m_unusedExtraAttempts;
+        const messages::Refusal &refusal = *call.m_refusal;
+        attempt.m_refusal = {refusal.m_status, refusal.m_notRun, refusal.m_reason,
+                             refusal.m_retryAfter};
+        attempt.m_failure =
+                refusal.m_notRun ? overload::Failure::NotRun : overload::Failure::MayHaveRun;
+        if (!refusal.m_retryable)
+            attempt.m_failure = overload::Failure::FurtherDown;
     } else if (call.m_undelivered) {
         attempt.m_refusal = {503, true, "node-unreachable", DefaultRetryDelay};
-        attempt.m_unusedExtraAttempts = attempt.m_plan.m_context.m_extraAttempts;
+        attempt.m_failure = overload::Failure::NotRun;
     } else if (call.m_broken) {
         attempt.m_refusal = {502, false, "node-failed", DefaultRetryDelay};
     } else {
         attempt.m_refusal = {504, false, "deadline", DefaultRetryDelay};
-        attempt.m_retryable = false;
     }
-    co_return AttemptEnd::Failed;
 }
 
 adapters::Task<bool> CallRunner::sendBody(Attempt &attempt)
@@ -185,19 +269,31 @@
 
 adapters::Task<bool> CallRunner::streamAnswer(Attempt &attempt)
 {
-    OutgoingCall &call = *attempt.m_call;
-    adapters::HttpExchange &exchange = attempt.m_exchange;
+    const OutgoingCall &call = *attempt.m_call;
     adapters::HttpResponseHead head;
     head.m_status = call.m_head->m_status;
     head.m_bodyBytes = call.m_head->m_bodyBytes;
     for (const messages::HeaderField &field : call.m_head->m_fields)
         head.m_fields.push_back({field.m_name, field.m_value});
+    adapters::removeField(head.m_fields, "Chervilmount-Request-Id");
     head.m_fields.push_back(
             {"Chervilmount-Request-Id", toHex(attempt.m_plan.m_context.m_requestId)});
-    if (!co_await exchange.startResponse(head))
+    if (attempt.m_copy != nullptr)
+        attempt.m_copy->start(head);
+    const bool started = co_await attempt.m_exchange.startResponse(head);
+    if (!started)
         co_return false;
-    const std::unique_ptr<XXH3_state_t, FreeChecksum> checksum(XXH3_createState());
-    XXH3_64bits_reset(checksum.get());
+    const bool whole = co_await streamBody(attempt);
+    if (!whole)
+        co_return false;
+    const bool finished = co_await attempt.m_exchange.finishResponse();
+    co_return finished;
+}
+
+adapters::Task<bool> CallRunner::streamBody(Attempt &attempt)
+{
+    OutgoingCall &call = *attempt.m_call;
+    BodyChecksum checksum;
     std::uint64_t total = 0;
     for (;;) {
         while (call.m_chunks.empty() && !call.ended() && !attempt.late())
@@ -206,17 +302,17 @@
             break;
         const std::string data = std::move(call.m_chunks.front());
         call.m_chunks.pop_front();
-        XXH3_64bits_update(checksum.get(), data.data(), data.size());
+        checksum.add(data);
         total += data.size();
-        if (!co_await exchange.writeBody(data))
+        if (attempt.m_copy != nullptr)
+            attempt.m_copy->add(data);
+        const bool written = co_await attempt.m_exchange.writeBody(data);
+        if (!written)
             co_return false;
         m_calls.acknowledge(call, data.size());
     }
-    if (!call.m_end || !call.m_end->m_complete || call.m_end->m_totalBytes != total
-        || call.m_end->m_checksum != XXH3_64bits_digest(checksum.get()))
-        co_return false;
-    attempt.m_unusedExtraAttempts = call.m_end->m_unusedExtraAttempts;
-    co_return co_await exchange.finishResponse();
+    co_return call.m_end &&call.m_end->m_complete &&call.m_end->m_totalBytes
+            == total &&call.m_end->m_checksum == checksum.value();
 }
 
 } // namespace chervilmount::node
--- a/packages/node/entry/callrunner.h
+++ b/packages/node/entry/callrunner.h
@@ -4,43 +4,57 @@
 #include "node/calls/outgoingcalls.h"
 #include "node/entry/bodysource.h"
 #include "node/entry/callplan.h"
+#include "node/outbound/servicerouter.h"
+#include "node/record/decisionrecorder.h"
 
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 
 namespace chervilmount::node {
 
-/** Chooses the node for an attempt. @returns its address, or nothing if none is left. */
-using ChooseNode = std::function<std::optional<std::string>(const CallPlan &plan,
-                                                            const std::set<std::string> &excluded)>;
-
 /** How a call ended. */
 struct CallOutcome
 {
-    /** HTTP status that the caller received; 0 if the connection was broken. */
+    /** HTTP status that the caller received or is to receive; 0 if the connection was broken. */
     int m_status = 0;
-    bool m_refused = false;
-    std::string m_reason;
+    /** Set if no backend server's response was passed on; the caller has not been answered. */
+    std::optional<RefusalReply> m_refusal;
     int m_attempts = 0;
-    /** Extra attempts that were handed out with the plan and not used. */
-    int m_unusedExtraAttempts = 0;
-    /** Node of the last attempt. */
-    std::string m_node;
+    /** Lowest threshold that came back with the attempts. */
+    overload::Rank m_threshold = overload::HighestRank;
+};
+
+/** Takes a copy of a response while it is streamed to the caller. */
+class ResponseCopy
+{
+public:
+    virtual ~ResponseCopy() = default;
+    virtual void start(const adapters::HttpResponseHead &head) = 0;
+    virtual void add(const std::string &data) = 0;
 };
 
 /** Sends a planned call, with its retries, and streams the response to the caller. */
 class CallRunner
 {
 public:
-    /** @param replayBytes bodies up to this size can be sent again in a further attempt. */
-    CallRunner(OutgoingCalls &calls, ChooseNode choose, std::size_t replayBytes);
+    /** All references must outlive the runner. */
+    CallRunner(OutgoingCalls &calls, ServiceRouter &router, DecisionRecorder &recorder,
+               std::mt19937_64 &random);
 
-    /** Runs the call until the response has been sent or the caller has gone. */
-    adapters::Task<CallOutcome> run(adapters::HttpExchange &exchange, CallPlan plan);
+    /**
+     * Runs the call until the response has been sent, the caller has gone or the call failed. A
+     * failed call is left to the caller of this function to answer.
+     * @param own allowance that retries are taken from; must outlive the call.
+     * @param copy receives the response, or null.
+     */
+    adapters::Task<CallOutcome> run(adapters::HttpExchange &exchange, BodySource &body,
+                                    CallPlan plan, overload::AttemptAllowance &own,
+                                    ResponseCopy *copy);
 
 private:
     enum class AttemptEnd { Answered, CallerGone, CallerBodyFailed, Failed };
@@ -51,11 +65,17 @@
     adapters::Task<bool> sendBody(Attempt &attempt);
     adapters::Task<> waitForAnswer(Attempt &attempt);
     adapters::Task<bool> streamAnswer(Attempt &attempt);
-    messages::CallStart makeStart(const CallPlan &plan, int attemptNumber, int handedOver) const;
+    adapters::Task<bool> streamBody(Attempt &attempt);
+    void explainFailure(Attempt &attempt) const;
+    void reportEnd(const Attempt &attempt, AttemptEnd end);
+    overload::RetryDecision decideRetry(const Attempt &attempt, overload::AttemptAllowance &own);
+    messages::CallStart makeStart(const CallPlan &plan, int number,
+                                  const overload::AttemptAllowance &allowance) const;
 
     OutgoingCalls &m_calls;
-    ChooseNode m_choose;
-    std::size_t m_replayBytes;
+    ServiceRouter &m_router;
+    DecisionRecorder &m_recorder;
+    std::mt19937_64 &m_random;
 };
 
 } // namespace chervilmount::node
--- a/packages/node/entry/nestedcalls.cpp
+++ b/packages/node/entry/nestedcalls.cpp
@@ -8,60 +8,73 @@
 
 constexpr std::chrono::milliseconds DefaultRetryDelay{1000};
 
-/** The route of a nested call: the best match among the routes of the named service. */
-const model::Route *findServiceRoute(const ConfigurationVersion &configuration,
+/** The route of a nested call: the match by path, or else the first route of the named service. */
+const model::Route *findServiceRoute(const PublishedConfiguration &configuration,
                                      const std::string &service,
                                      const adapters::HttpRequestHead &head)
 {
     const model::Route *route =
-            findRoute(configuration, head.field("Host"), head.m_method, head.m_target);
+            configuration.m_index.routes().find("", head.m_method, head.m_target);
     if (route != nullptr && route->m_service == service)
         return route;
-    const auto place = std::find_if(
-            configuration.m_set.m_routes.begin(), configuration.m_set.m_routes.end(),
-            [&service](const model::Route &other) { return other.m_service == service; });
-    return place == configuration.m_set.m_routes.end() ? nullptr : &*place;
+    const std::vector<model::Route> &routes = configuration.m_set.configuration().m_routes;
+    const auto place =
+            std::find_if(routes.begin(), routes.end(), [&service](const model::Route &other) {
+                return other.m_service == service;
+            });
+    return place == routes.end() ? nullptr : &*place;
+}
+
+void restoreContext(model::RequestContext &context, const IncomingCall &parent)
+{
+    const messages::CallStart &start = parent.m_start;
+    context.m_requestId = start.m_key.m_requestId;
+    context.m_organisation = start.m_organisation;
+    context.m_priority = start.m_priority;
+    context.m_rank = start.m_rank;
+    context.m_pathDepth = start.m_pathDepth + 1;
+    context.m_deadline = std::min(context.m_deadline, parent.m_deadline);
 }
 
 } // namespace
 
-EntryDecision decideNested(const ConfigurationVersion *configuration, IncomingCall *parent,
-                           const adapters::HttpRequestHead &head, model::RequestId newId,
-                           std::chrono::steady_clock::time_point now)
+EntryDecision decideNested(const EntryInput &input, const IncomingCall *parent,
+                           const adapters::HttpRequestHead &head)
 {
-    if (configuration == nullptr)
+    if (input.m_configuration == nullptr)
         return RefusalReply{503, true, "no-configuration", DefaultRetryDelay};
+    const PublishedConfiguration &configuration = *input.m_configuration;
     CallPlan plan;
     plan.m_service = std::string(head.field("Chervilmount-Service"));
-    const model::Route *route = findServiceRoute(*configuration, plan.m_service, head);
-    if (plan.m_service.empty() || route == nullptr)
+    const model::Service *service = configuration.m_index.service(plan.m_service);
+    if (service == nullptr)
         return RefusalReply{404, true, "unknown-service", {}};
-    if (parent == nullptr && !route->m_open)
+    const model::Route *route = findServiceRoute(configuration, plan.m_service, head);
+    const bool open = route != nullptr && route->m_open;
+    if (parent == nullptr && !open)
         return RefusalReply{403, true, "unknown-context", {}};
-    plan.m_route = route->m_name;
+    if (parent != nullptr && parent->m_start.m_pathDepth >= model::MaximumPathDepth)
+        return RefusalReply{508, true, "path-too-deep", {}};
+    if (service->m_calls.empty())
+        plan.m_nestedCalls = overload::NestedCalls::None;
     plan.m_head = head;
-    plan.m_maximumBodyBytes = route->m_maximumBodyBytes;
     removeReservedFields(plan.m_head.m_fields);
     model::RequestContext &context = plan.m_context;
-    context.m_deadline = now + route->m_timeout;
-    context.m_onceOnly = route->m_execution == model::Execution::OnceOnly;
-    if (parent == nullptr) {
-        context.m_requestId = newId;
-        context.m_extraAttempts = route->m_extraAttempts;
+    // A service that is only called by other services needs no route; the default limits apply,
+    // and the deadline of the calling request.
+    const model::Route limits = route == nullptr ? model::Route() : *route;
+    plan.m_route = limits.m_name;
+    plan.m_maximumBodyBytes = limits.m_maximumBodyBytes;
+    context.m_onceOnly = limits.m_execution == model::Execution::OnceOnly;
+    context.m_deadline = route == nullptr && parent != nullptr ? parent->m_deadline
+                                                               : input.m_now + limits.m_timeout;
+    if (parent != nullptr) {
+        restoreContext(context, *parent);
         return plan;
     }
-    const messages::CallStart &start = parent->m_start;
-    if (start.m_pathDepth >= model::MaximumPathDepth)
-        return RefusalReply{508, true, "path-too-deep", {}};
-    context.m_requestId = start.m_key.m_requestId;
-    context.m_organisation = start.m_organisation;
-    context.m_priority = start.m_priority;
-    context.m_rank = start.m_rank;
-    context.m_pathDepth = start.m_pathDepth + 1;
-    context.m_deadline = std::min(context.m_deadline, parent->m_deadline);
-    // Half is kept for other nested calls of the same request.
-    context.m_extraAttempts = (parent->m_extraAttempts + 1) / 2;
-    parent->m_extraAttempts -= context.m_extraAttempts;
+    context.m_requestId = input.m_id;
+    context.m_extraAttempts = limits.m_extraAttempts;
+    context.m_rank = overload::makeRank(model::PriorityLevels - 1, 0, input.m_id);
     return plan;
 }
 
--- a/packages/node/inbound/incomingcalls.cpp
+++ b/packages/node/inbound/incomingcalls.cpp
@@ -1,12 +1,10 @@
 #include "node/inbound/incomingcalls.h"
 
-#include "messages/codec/framecodec.h"
 #include "node/calls/callprotocol.h"
 #include "node/calls/requestids.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -15,55 +13,88 @@
 
 namespace {
 
+using std::chrono::steady_clock;
+
 // Delay suggested to callers when the refusal names no better one.
 constexpr std::chrono::milliseconds DefaultRetryDelay{200};
 
-/** The running XXH3-64 of a body. */
-class Checksum
-{
-public:
-    Checksum()
-        : m_state(XXH3_createState())
-    {
-        XXH3_64bits_reset(m_state);
-    }
-    ~Checksum() { XXH3_freeState(m_state); }
-    Checksum(const Checksum &) = delete;
-    Checksum &operator=(const Checksum &) = delete;
-
-    void add(const std::string &data) { XXH3_64bits_update(m_state, data.data(), data.size()); }
-    std::uint64_t value() const { return XXH3_64bits_digest(m_state); }
+// The sojourn target is 5 ms, so waiting calls are looked at as often.
+constexpr std::chrono::milliseconds BusyTick{5};
+constexpr std::chrono::milliseconds IdleTick{100};
 
-private:
-    XXH3_state_t *m_state;
-};
-
-std::vector<messages::HeaderField> toFields(const std::vector<adapters::HttpField> &fields)
+std::string_view resultText(overload::CallResult result)
 {
-    std::vector<messages::HeaderField> result;
-    for (const adapters::HttpField &field : fields)
-        result.push_back({field.m_name, field.m_value});
-    return result;
+    switch (result) {
+    case overload::CallResult::Success:
+        return "success";
+    case overload::CallResult::Error:
+        return "error";
+    case overload::CallResult::Timeout:
+        return "timeout";
+    case overload::CallResult::ServerRefused:
+        return "server-refused";
+    case overload::CallResult::NotCounted:
+        break;
+    }
+    return "not-counted";
 }
 
 } // namespace
 
 IncomingCalls::IncomingCalls(const boost::asio::any_io_executor &executor, BackendServer &backend,
-                             std::size_t maximumCalls, SendFrame send)
+                             DecisionRecorder &recorder, std::size_t maximumCalls, SendFrame send)
     : m_executor(executor)
     , m_backend(backend)
+    , m_recorder(recorder)
     , m_maximumCalls(maximumCalls)
     , m_send(std::move(send))
+    , m_admission(overload::coldAdmission({}, 1))
+    , m_queued(executor)
+{
+    boost::asio::co_spawn(m_executor, tickAdmission(), boost::asio::detached);
+}
+
+IncomingCalls::~IncomingCalls()
+{
+    *m_running = false;
+}
+
+void IncomingCalls::setLeaving(bool leaving)
+{
+    m_admission.m_leaving = leaving;
+}
+
+void IncomingCalls::announce(const Announcement &announcement, steady_clock::time_point now)
 {
+    const bool isNew =
+            m_backend.announced(now) == nullptr || m_admittedAddress != announcement.m_address;
+    m_backend.announce(announcement, now);
+    const int slots = std::max<int>(1, static_cast<int>(announcement.m_slots));
+    if (isNew && m_admission.m_inFlight == 0) {
+        const bool leaving = m_admission.m_leaving;
+        m_admission = overload::coldAdmission({}, slots);
+        m_admission.m_leaving = leaving;
+        m_admittedAddress = announcement.m_address;
+    } else {
+        overload::announceSlots(m_admission.m_limit, slots);
+        // The reported load contains this node's own calls, and it lags. Only what exceeds the
+        // most calls since the last report is somebody else's load.
+        const double others = std::max(0.0, announcement.m_load * slots - m_peakInFlight);
+        overload::reportFreeShare(m_admission.m_limit, 1.0 - others / slots);
+    }
+    m_peakInFlight = m_admission.m_inFlight;
 }
 
-messages::LoadReport IncomingCalls::loadReport() const
+messages::LoadReport IncomingCalls::loadReport(const IncomingCall *call) const
 {
-    const Announcement *announcement = m_backend.announced(std::chrono::steady_clock::now());
     messages::LoadReport load;
-    load.m_inFlight = static_cast<std::uint32_t>(m_calls.size());
-    load.m_slots = announcement == nullptr ? 0 : announcement->m_slots;
-    load.m_leaving = m_leaving;
+    load.m_inFlight = static_cast<std::uint32_t>(m_admission.m_inFlight);
+    load.m_slots = static_cast<std::uint32_t>(m_admission.m_limit.m_slots);
+    load.m_leaving = m_admission.m_leaving;
+    load.m_load = overload::carriedLoad(m_admission);
+    load.m_threshold = m_admission.m_threshold.m_rank;
+    if (call != nullptr)
+        load.m_threshold = std::min(load.m_threshold, call->m_calleeThreshold);
     return load;
 }
 
@@ -73,13 +104,13 @@
     return place == m_tokens.end() ? nullptr : place->second;
 }
 
-std::shared_ptr<IncomingCall> IncomingCalls::find(const adapters::PeerHandle &from,
-                                                  const messages::CallKey &key)
+IncomingCalls::CallPointer IncomingCalls::find(const adapters::PeerHandle &from,
+                                               const messages::CallKey &key)
 {
     const auto place = m_calls.find({from, key});
     if (place != m_calls.end())
         return place->second;
-    ++m_counters.m_droppedFrames;
+    ++m_droppedFrames;
     return nullptr;
 }
 
@@ -90,81 +121,139 @@
     } else if (auto *body = std::get_if<messages::CallBody>(&frame)) {
         receiveBody(from, std::move(*body));
     } else if (const auto *cancelled = std::get_if<messages::CallCancel>(&frame)) {
-        if (const std::shared_ptr<IncomingCall> call = find(from, cancelled->m_key))
-            cancel(*call);
+        if (const CallPointer call = find(from, cancelled->m_key))
+            cancel(call);
     } else if (const auto *window = std::get_if<messages::AnswerWindow>(&frame)) {
-        if (const std::shared_ptr<IncomingCall> call = find(from, window->m_key)) {
-            call->m_answerCredit += window->m_bytes;
+        if (const CallPointer call = find(from, window->m_key)) {
+            // A peer cannot open the window beyond its size and make this node buffer more.
+            call->m_answerCredit = std::min<std::uint64_t>(AnswerWindowBytes,
+                                                           call->m_answerCredit + window->m_bytes);
             call->m_changed.notify();
         }
     }
 }
 
-std::string IncomingCalls::admissionRefusal(const messages::CallStart &start,
-                                            std::chrono::steady_clock::time_point now) const
+std::string IncomingCalls::earlyRefusal(const messages::CallStart &start,
+                                        steady_clock::time_point now) const
 {
     const Announcement *announcement = m_backend.announced(now);
-    if (m_leaving)
+    if (m_admission.m_leaving)
         return "leaving";
     if (announcement == nullptr || announcement->m_service != start.m_service)
         return "no-backend-server";
     if (m_calls.size() >= m_maximumCalls)
         return "too-many-calls";
-    if (m_atBackend >= announcement->m_slots)
-        return "limit";
-    if (start.m_remaining.count() <= 0)
-        return "deadline";
     return {};
 }
 
-void IncomingCalls::refuse(const adapters::PeerHandle &to, const messages::CallStart &start,
-                           const std::string &reason, bool notRun, int unusedExtraAttempts)
+void IncomingCalls::refuse(const IncomingCall &call, const std::string &reason, bool notRun)
 {
-    ++m_counters.m_refused;
     messages::Refusal refusal;
-    refusal.m_key = start.m_key;
+    refusal.m_key = call.m_start.m_key;
     refusal.m_notRun = notRun;
     refusal.m_reason = reason;
     refusal.m_retryAfter = DefaultRetryDelay;
     refusal.m_status = notRun ? 503 : 502;
-    refusal.m_unusedExtraAttempts = unusedExtraAttempts;
-    refusal.m_load = loadReport();
-    m_send(to, refusal);
+    if (reason == "deadline")
+        refusal.m_status = 504;
+    refusal.m_unusedExtraAttempts = call.m_allowance.m_extraAttempts;
+    refusal.m_load = loadReport(&call);
+    m_recorder.metrics().add("chervilmount_calls_total", {{"result", "refused-" + reason}});
+    m_recorder.record(call.m_start.m_key.m_requestId, "admission",
+                      {{"decision", "refuse"},
+                       {"reason", reason},
+                       {"outcome", notRun ? "not-run" : "unknown"},
+                       {"rank", std::to_string(call.m_start.m_rank)}});
+    m_send(call.m_peer, refusal);
 }
 
 void IncomingCalls::startCall(const adapters::PeerHandle &from, messages::CallStart &&start)
 {
-    const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
-    const std::string reason = admissionRefusal(start, now);
-    if (!reason.empty()) {
-        refuse(from, start, reason, true, start.m_extraAttempts);
-        return;
-    }
+    const steady_clock::time_point now = steady_clock::now();
     auto call = std::make_shared<IncomingCall>(m_executor);
     call->m_peer = from;
-    call->m_deadline = now + start.m_remaining;
-    call->m_extraAttempts = start.m_extraAttempts;
+    call->m_deadline = overload::anchorDeadline(start.m_remaining, now);
+    call->m_allowance = {start.m_extraAttempts, start.m_repeat};
     call->m_bodyCredit = BodyWindowBytes;
     call->m_bodyComplete = !start.m_hasBody;
     call->m_answerCredit = AnswerWindowBytes;
-    call->m_token = newToken();
+    call->m_number = m_nextNumber++;
     call->m_start = std::move(start);
+    const std::string reason = earlyRefusal(call->m_start, now);
+    if (!reason.empty()) {
+        refuse(*call, reason, true);
+        return;
+    }
     if (!m_calls.emplace(CallId(from, call->m_start.m_key), call).second) {
-        ++m_counters.m_droppedFrames;
+        ++m_droppedFrames;
         return;
     }
+    m_byNumber.emplace(call->m_number, call);
+    admit(call);
+}
+
+void IncomingCalls::admit(const CallPointer &call)
+{
+    overload::ArrivingCall arriving;
+    arriving.m_call = call->m_number;
+    arriving.m_organisation = overload::numberOf(m_organisations, call->m_start.m_organisation);
+    arriving.m_rank = std::min(call->m_start.m_rank, overload::HighestRank);
+    arriving.m_deadline = call->m_deadline;
+    overload::AdmissionEffects effects;
+    const overload::AdmissionDecision decision =
+            overload::arrive(m_admission, arriving, steady_clock::now(), effects);
+    if (decision.m_verdict == overload::Verdict::Refuse) {
+        refuse(*call, std::string(overload::toText(decision.m_reason)), true);
+        forget(call);
+    } else if (decision.m_verdict == overload::Verdict::Start) {
+        launch(call);
+    } else {
+        m_queued.notify();
+    }
+    apply(effects);
+}
+
+void IncomingCalls::apply(const overload::AdmissionEffects &effects)
+{
+    for (const overload::CallNumber number : effects.m_started) {
+        const auto place = m_byNumber.find(number);
+        if (place != m_byNumber.end())
+            launch(place->second);
+    }
+    for (const overload::RefusedCall &refused : effects.m_refused) {
+        const auto place = m_byNumber.find(refused.m_call);
+        if (place == m_byNumber.end())
+            continue;
+        const CallPointer call = place->second;
+        refuse(*call, std::string(overload::toText(refused.m_reason)), true);
+        forget(call);
+    }
+}
+
+void IncomingCalls::launch(const CallPointer &call)
+{
+    call->m_started = true;
+    call->m_startedAt = steady_clock::now();
+    call->m_token = newToken();
     m_tokens.emplace(call->m_token, call);
-    ++m_counters.m_started;
+    m_peakInFlight = std::max(m_peakInFlight, m_admission.m_inFlight);
+    m_recorder.record(call->m_start.m_key.m_requestId, "admission",
+                      {{"decision", "start"},
+                       {"service", call->m_start.m_service},
+                       {"rank", std::to_string(call->m_start.m_rank)},
+                       {"inflight", std::to_string(m_admission.m_inFlight)},
+                       {"limit", std::to_string(overload::limitNow(m_admission.m_limit))}});
     boost::asio::co_spawn(m_executor, run(call), boost::asio::detached);
 }
 
 void IncomingCalls::receiveBody(const adapters::PeerHandle &from, messages::CallBody &&body)
 {
-    const std::shared_ptr<IncomingCall> call = find(from, body.m_key);
+    const CallPointer call = find(from, body.m_key);
     if (!call || call->m_bodyComplete)
         return;
+    // A peer that exceeds the window would make this node hold the body in memory.
     if (body.m_data.size() > call->m_bodyCredit) {
-        cancel(*call);
+        cancel(call);
         return;
     }
     call->m_bodyCredit -= body.m_data.size();
@@ -174,163 +263,80 @@
     call->m_changed.notify();
 }
 
-void IncomingCalls::cancel(IncomingCall &call)
+void IncomingCalls::cancel(const CallPointer &call)
 {
-    if (call.m_cancelled)
+    if (call->m_cancelled)
         return;
-    call.m_cancelled = true;
-    ++m_counters.m_cancelled;
-    if (call.m_connection != nullptr)
-        call.m_connection->close();
-    call.m_changed.notify();
+    call->m_cancelled = true;
+    m_recorder.metrics().add("chervilmount_calls_total", {{"result", "cancelled"}});
+    if (!call->m_started) {
+        overload::cancelWaiting(m_admission, call->m_number);
+        forget(call);
+        return;
+    }
+    if (call->m_connection != nullptr)
+        call->m_connection->close();
+    call->m_changed.notify();
 }
 
-adapters::Task<> IncomingCalls::run(std::shared_ptr<IncomingCall> call)
+void IncomingCalls::forget(const CallPointer &call)
 {
-    ++m_atBackend;
-    try {
-        co_await runAtBackend(*call);
-    } catch (const std::exception &) {
-        ++m_counters.m_broken;
-        refuse(call->m_peer, call->m_start, "internal-error", false, 0);
-    }
-    --m_atBackend;
     m_tokens.erase(call->m_token);
+    m_byNumber.erase(call->m_number);
     m_calls.erase({call->m_peer, call->m_start.m_key});
 }
 
-adapters::Task<> IncomingCalls::runAtBackend(IncomingCall &call)
-{
-    std::unique_ptr<adapters::HttpConnection> connection =
-            co_await m_backend.acquire(call.m_deadline);
-    if (!connection) {
-        refuse(call.m_peer, call.m_start, "backend-unreachable", true, call.m_extraAttempts);
-        co_return;
-    }
-    if (call.m_cancelled) {
-        m_backend.release(std::move(connection));
-        co_return;
-    }
-    call.m_connection = connection.get();
-    connection->setDeadline(call.m_deadline);
-    // The server may answer before it has taken the whole request, so the answer is read anyway.
-    co_await sendRequest(call, *connection);
-    const bool answered = !call.m_cancelled && co_await answer(call, *connection);
-    call.m_connection = nullptr;
-    if (answered)
-        ++m_counters.m_answered;
-    else
-        connection->close();
-    m_backend.release(std::move(connection));
-}
-
-adapters::Task<bool> IncomingCalls::sendRequest(IncomingCall &call,
-                                                adapters::HttpConnection &connection)
-{
-    const messages::CallStart &start = call.m_start;
-    adapters::HttpRequestHead head;
-    head.m_method = start.m_method;
-    head.m_target = start.m_target;
-    head.m_hasBody = start.m_hasBody;
-    head.m_bodyBytes = start.m_bodyBytes;
-    for (const messages::HeaderField &field : start.m_fields)
-        head.m_fields.push_back({field.m_name, field.m_value});
-    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-            call.m_deadline - std::chrono::steady_clock::now());
-    head.m_fields.push_back({"Chervilmount-Context", call.m_token});
-    head.m_fields.push_back({"Chervilmount-Deadline-Ms",
-                             std::to_string(std::max<std::int64_t>(0, remaining.count()))});
-    head.m_fields.push_back({"Chervilmount-Request-Id", toHex(start.m_key.m_requestId)});
-    if (!co_await connection.writeHead(head))
-        co_return false;
-    if (!start.m_hasBody)
-        co_return true;
-    co_return co_await sendRequestBody(call, connection);
-}
-
-adapters::Task<bool> IncomingCalls::sendRequestBody(IncomingCall &call,
-                                                    adapters::HttpConnection &connection)
+adapters::Task<> IncomingCalls::run(CallPointer call)
 {
-    for (;;) {
-        while (call.m_body.empty() && !call.m_bodyComplete && !call.m_cancelled
-               && std::chrono::steady_clock::now() < call.m_deadline)
-            co_await call.m_changed.waitUntil(call.m_deadline);
-        if (call.m_body.empty())
-            break;
-        const std::string data = std::move(call.m_body.front());
-        call.m_body.pop_front();
-        if (call.m_cancelled || !co_await connection.writeBody(data))
-            co_return false;
-        call.m_bodyCredit += data.size();
-        m_send(call.m_peer,
-               messages::BodyWindow{call.m_start.m_key, static_cast<std::uint32_t>(data.size())});
+    const std::shared_ptr<bool> running = m_running;
+    BackendCallPorts ports{m_backend, m_send,
+                           [this](const IncomingCall &other) { return loadReport(&other); }};
+    BackendResult result;
+    try {
+        result = co_await runAtBackend(ports, *call);
+    } catch (const std::exception &) {
+        result.m_result = overload::CallResult::NotCounted;
+        result.m_refusal = "internal-error";
+        result.m_notRun = false;
     }
-    if (call.m_cancelled || !call.m_bodyComplete)
-        co_return false;
-    co_return co_await connection.finishBody();
+    if (*running)
+        finish(call, result);
 }
 
-adapters::Task<bool> IncomingCalls::answer(IncomingCall &call, adapters::HttpConnection &connection)
+void IncomingCalls::finish(const CallPointer &call, const BackendResult &result)
 {
-    std::optional<adapters::HttpResponseHead> head = co_await connection.readHead();
-    if (call.m_cancelled)
-        co_return false;
-    if (!head) {
-        const bool late = std::chrono::steady_clock::now() >= call.m_deadline;
-        refuse(call.m_peer, call.m_start, late ? "deadline" : "backend-failed", false,
-               call.m_extraAttempts);
-        co_return false;
-    }
-    if (adapters::equalNames(head->field("Chervilmount-Not-Run"), "true")) {
-        refuse(call.m_peer, call.m_start, "backend-refused", true, call.m_extraAttempts);
-        co_return false;
-    }
-    messages::AnswerHead answerHead;
-    answerHead.m_key = call.m_start.m_key;
-    answerHead.m_status = head->m_status;
-    answerHead.m_fields = toFields(head->m_fields);
-    answerHead.m_bodyBytes = head->m_bodyBytes;
-    answerHead.m_load = loadReport();
-    m_send(call.m_peer, answerHead);
-    co_return co_await sendAnswerBody(call, connection);
+    const steady_clock::time_point now = steady_clock::now();
+    const std::chrono::nanoseconds slotTime = now - call->m_startedAt;
+    const std::chrono::nanoseconds ownTime =
+            std::max(std::chrono::nanoseconds(0), slotTime - call->m_nestedTime);
+    overload::AdmissionEffects effects;
+    overload::finishCall(m_admission, result.m_result, ownTime, slotTime, now, effects);
+    if (!result.m_refusal.empty() && !call->m_cancelled)
+        refuse(*call, result.m_refusal, result.m_notRun);
+    const std::string text(resultText(result.m_result));
+    m_recorder.metrics().add("chervilmount_calls_total", {{"result", text}});
+    m_recorder.metrics().record("chervilmount_backend_seconds", {}, slotTime);
+    m_recorder.record(call->m_start.m_key.m_requestId, "backend",
+                      {{"result", text},
+                       {"status", std::to_string(result.m_status)},
+                       {"microseconds", std::to_string(slotTime.count() / 1000)}});
+    forget(call);
+    apply(effects);
 }
 
-adapters::Task<bool> IncomingCalls::sendAnswerBody(IncomingCall &call,
-                                                   adapters::HttpConnection &connection)
+adapters::Task<> IncomingCalls::tickAdmission()
 {
-    using BodyRead = adapters::HttpConnection::BodyRead;
-    messages::AnswerEnd end;
-    end.m_key = call.m_start.m_key;
-    Checksum checksum;
-    std::string data;
-    BodyRead read = BodyRead::Data;
-    while (read == BodyRead::Data) {
-        while (call.m_answerCredit == 0 && !call.m_cancelled
-               && std::chrono::steady_clock::now() < call.m_deadline)
-            co_await call.m_changed.waitUntil(call.m_deadline);
-        if (call.m_cancelled)
-            co_return false;
-        if (call.m_answerCredit == 0)
-            break;
-        read = co_await connection.readBody(
-                data, std::min<std::uint64_t>(call.m_answerCredit, messages::ChunkBytes));
-        if (call.m_cancelled)
-            co_return false;
-        if (data.empty())
-            continue;
-        checksum.add(data);
-        end.m_totalBytes += data.size();
-        call.m_answerCredit -= data.size();
-        m_send(call.m_peer, messages::AnswerChunk{call.m_start.m_key, data});
+    const std::shared_ptr<bool> running = m_running;
+    while (*running) {
+        const steady_clock::time_point now = steady_clock::now();
+        overload::AdmissionEffects effects;
+        overload::tick(m_admission, now, effects);
+        apply(effects);
+        if (m_admission.m_queue.m_size > 0)
+            co_await adapters::sleepFor(BusyTick);
+        else
+            co_await m_queued.waitUntil(now + IdleTick);
     }
-    end.m_complete = read == BodyRead::End;
-    end.m_checksum = checksum.value();
-    end.m_unusedExtraAttempts = call.m_extraAttempts;
-    end.m_load = loadReport();
-    m_send(call.m_peer, end);
-    if (!end.m_complete)
-        ++m_counters.m_broken;
-    co_return end.m_complete;
 }
 
 } // namespace chervilmount::node
--- a/packages/node/main.cpp
+++ b/packages/node/main.cpp
@@ -1,3 +1,4 @@
+#include "adapters/logging/decisionlog.h"
 #include "node/node.h"
 
 #include "model/findings/findingserror.h"
@@ -30,18 +31,21 @@
     using namespace std::chrono;
     const chervilmount::node::NodeSettings settings =
             chervilmount::node::parseNodeSettings(readFile(settingsPath), settingsPath);
+    chervilmount::adapters::configureLog(settings.m_logLevel, settings.m_logFile);
     boost::asio::io_context context(1);
     const auto incarnation =
             duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
     std::random_device device;
     const std::uint64_t seed = (static_cast<std::uint64_t>(device()) << 32U) | device();
     chervilmount::node::Node node(context, settings, static_cast<std::uint64_t>(incarnation), seed);
+    node.m_onStopped = [&context] { context.stop(); };
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&node](boost::system::error_code error, int) {
         if (!error)
             node.stop();
     });
     context.run();
+    chervilmount::adapters::shutDownLog();
 }
 
 } // namespace
--- a/packages/node/runtime/node.cpp
+++ b/packages/node/runtime/node.cpp
@@ -1,35 +1,28 @@
 #include "node/runtime/node.h"
 
-#include "node/calls/requestids.h"
 #include "node/control/operatorapi.h"
-#include "node/entry/nestedcalls.h"
-#include "node/entry/replies.h"
+#include "node/entry/callerhandler.h"
+#include "node/inbound/localhandler.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/json/parse.hpp>
 
-#include <type_traits>
 #include <utility>
 
 namespace chervilmount::node {
 
 namespace {
 
+using std::chrono::steady_clock;
+
 // How often the shutdown looks whether requests are still active.
 constexpr std::chrono::milliseconds DrainInterval{20};
 
-// Frames that were queued before the links are closed, such as the last responses.
-constexpr std::chrono::milliseconds FlushTime{100};
+// Time for frames that were queued before the links are closed, such as the last responses.
+constexpr std::chrono::milliseconds FlushTime{200};
 
-messages::MemberRecord ownRecord(const NodeSettings &settings, std::uint64_t incarnation)
-{
-    messages::MemberRecord record;
-    record.m_failureDomain = settings.m_failureDomain;
-    record.m_address = settings.m_advertisedAddress;
-    record.m_incarnation = incarnation;
-    return record;
-}
+// How often the candidates are drawn anew after changes of the members.
+constexpr std::chrono::milliseconds RefreshInterval{50};
 
 adapters::PeerTransportSettings transportSettings(const NodeSettings &settings,
                                                   std::uint64_t incarnation)
@@ -42,66 +35,35 @@
     return result;
 }
 
-Announcement parseAnnouncement(const std::string &text)
-{
-    const boost::json::value document = boost::json::parse(text);
-    Announcement announcement;
-    announcement.m_service = std::string(document.at("service").as_string());
-    announcement.m_address = std::string(document.at("address").as_string());
-    announcement.m_slots = document.at("slots").to_number<std::uint32_t>();
-    announcement.m_connections = document.at("connections").to_number<std::uint32_t>();
-    if (const boost::json::value *load = document.as_object().if_contains("load"))
-        announcement.m_load = load->to_number<double>();
-    return announcement;
-}
-
 } // namespace
 
 Node::Node(boost::asio::io_context &context, NodeSettings settings, std::uint64_t incarnation,
            std::uint64_t seed)
-    : m_context(context)
-    , m_settings(std::move(settings))
-    , m_random(seed)
-    , m_platform(context.get_executor(), m_settings.m_platform)
-    , m_configurationStore(m_platform, m_configuration)
-    , m_members(ownRecord(m_settings, incarnation))
-    , m_backend(context.get_executor(), m_settings.m_backendHeadBytes,
-                m_settings.m_backendConnectTimeout)
-    , m_incoming(context.get_executor(), m_backend, m_settings.m_incomingCalls,
-                 [this](const adapters::PeerHandle &to, const messages::Frame &frame) {
-                     return m_transport->send(to, frame);
-                 })
-    , m_outgoing(context.get_executor(),
-                 [this](const adapters::PeerHandle &to, const messages::Frame &frame) {
-                     return m_transport->send(to, frame);
-                 })
-    , m_runner(
-              m_outgoing,
-              [this](const CallPlan &plan, const std::set<std::string> &excluded) {
-                  return chooseNode(plan, excluded);
-              },
-              m_settings.m_replayBytes)
+    : m_parts(context, std::move(settings), incarnation, seed)
 {
     const boost::asio::any_io_executor executor = context.get_executor();
-    m_transport = std::make_unique<adapters::PeerTransport>(
-            executor, transportSettings(m_settings, incarnation),
+    const NodeSettings &own = m_parts.m_settings;
+    m_parts.m_stop = [this] { stop(); };
+    m_parts.m_transport = std::make_unique<adapters::PeerTransport>(
+            executor, transportSettings(own, incarnation),
             [this](const adapters::PeerHandle &from, messages::Frame &&frame) {
                 receive(from, std::move(frame));
             },
             [this](const adapters::PeerHandle &to, messages::Frame &&frame) {
-                m_outgoing.undelivered(to, frame);
+                m_parts.m_outgoing.undelivered(to, frame);
             });
     m_callers = std::make_unique<adapters::HttpListener>(
-            executor, m_settings.m_callerAddress, m_settings.m_callerLimits,
-            [this](adapters::HttpExchange &exchange) { return handleCaller(exchange); });
+            executor, own.m_callerAddress, own.m_callerLimits,
+            [this](adapters::HttpExchange &exchange) { return handleCaller(m_parts, exchange); });
     m_local = std::make_unique<adapters::HttpListener>(
-            executor, m_settings.m_localAddress, m_settings.m_localLimits,
-            [this](adapters::HttpExchange &exchange) { return handleLocal(exchange); });
+            executor, own.m_localAddress, own.m_localLimits,
+            [this](adapters::HttpExchange &exchange) { return handleLocal(m_parts, exchange); });
     m_operators = std::make_unique<adapters::HttpListener>(
-            executor, m_settings.m_operatorAddress, m_settings.m_operatorLimits,
-            [this](adapters::HttpExchange &exchange) { return handleOperator(*this, exchange); });
+            executor, own.m_operatorAddress, own.m_operatorLimits,
+            [this](adapters::HttpExchange &exchange) { return handleOperator(m_parts, exchange); });
     boost::asio::co_spawn(context, pollConfiguration(), boost::asio::detached);
     boost::asio::co_spawn(context, sendHeartbeats(), boost::asio::detached);
+    boost::asio::co_spawn(context, refreshCandidates(), boost::asio::detached);
 }
 
 Node::~Node()
@@ -112,135 +74,100 @@
 void Node::receive(const adapters::PeerHandle &from, messages::Frame &&frame)
 {
     if (const auto *heartbeat = std::get_if<messages::Heartbeat>(&frame))
-        m_members.receive(heartbeat->m_sender, std::chrono::steady_clock::now());
+        m_parts.m_members.receive(heartbeat->m_sender, steady_clock::now());
     else if (from.m_inbound)
-        m_incoming.receive(from, std::move(frame));
+        m_parts.m_incoming.receive(from, std::move(frame));
     else
-        m_outgoing.receive(from, std::move(frame));
-}
-
-std::optional<std::string> Node::chooseNode(const CallPlan &plan,
-                                            const std::set<std::string> &excluded)
-{
-    const std::vector<std::string> candidates =
-            m_members.candidates(plan.m_service, excluded, std::chrono::steady_clock::now());
-    if (candidates.empty())
-        return std::nullopt;
-    return candidates[m_random() % candidates.size()];
-}
-
-adapters::Task<> Node::handleCaller(adapters::HttpExchange &exchange)
-{
-    const model::RequestId id = newRequestId(m_random);
-    EntryDecision decision = decideEntry(m_configuration.current().get(), m_settings.m_digestKey,
-                                         exchange.request(), id, std::chrono::steady_clock::now());
-    if (m_leaving)
-        decision = RefusalReply{503, true, "leaving", std::chrono::milliseconds(200)};
-    if (const auto *refusal = std::get_if<RefusalReply>(&decision))
-        co_await sendRefusal(exchange, *refusal, id);
-    else
-        co_await m_runner.run(exchange, std::get<CallPlan>(std::move(decision)));
-}
-
-adapters::Task<> Node::handleLocal(adapters::HttpExchange &exchange)
-{
-    const adapters::HttpRequestHead &request = exchange.request();
-    if (request.m_method == "POST" && request.m_target == "/backend/announce") {
-        co_await handleAnnounce(exchange);
-    } else if (request.m_method == "POST" && request.m_target == "/backend/leave") {
-        m_backend.leave();
-        m_members.updateOwn(m_members.own().m_service, 0, MemberState::Leaving);
-        co_await sendJson(exchange, 200, "{}");
-    } else {
-        co_await handleNested(exchange);
-    }
+        m_parts.m_outgoing.receive(from, std::move(frame));
 }
 
-adapters::Task<> Node::handleNested(adapters::HttpExchange &exchange)
+adapters::Task<> Node::pollConfiguration()
 {
-    const model::RequestId id = newRequestId(m_random);
-    const std::shared_ptr<IncomingCall> parent =
-            m_incoming.findByToken(std::string(exchange.request().field("Chervilmount-Context")));
-    EntryDecision decision = decideNested(m_configuration.current().get(), parent.get(),
-                                          exchange.request(), id, std::chrono::steady_clock::now());
-    if (const auto *refusal = std::get_if<RefusalReply>(&decision)) {
-        co_await sendRefusal(exchange, *refusal, parent ? parent->m_start.m_key.m_requestId : id);
-        co_return;
+    const std::shared_ptr<bool> running = m_running;
+    while (*running) {
+        co_await m_parts.m_configurationStore.refresh();
+        if (!*running)
+            co_return;
+        co_await adapters::sleepFor(m_parts.m_settings.m_configurationPollInterval);
     }
-    const CallOutcome outcome =
-            co_await m_runner.run(exchange, std::get<CallPlan>(std::move(decision)));
-    if (parent)
-        parent->m_extraAttempts += outcome.m_unusedExtraAttempts;
 }
 
-adapters::Task<> Node::handleAnnounce(adapters::HttpExchange &exchange)
+void Node::sendHeartbeat()
 {
-    std::string text;
-    if (co_await exchange.readWholeBody(text) != adapters::HttpExchange::BodyRead::Data) {
-        co_await sendJson(exchange, 413, R"({"reason":"the body is too large or incomplete"})");
-        co_return;
-    }
-    std::string problem;
-    try {
-        const Announcement announcement = parseAnnouncement(text);
-        m_backend.announce(announcement, std::chrono::steady_clock::now());
-        m_members.updateOwn(announcement.m_service, announcement.m_slots,
-                            m_leaving ? MemberState::Leaving : MemberState::Serving);
-    } catch (const std::exception &error) {
-        problem = error.what();
+    Members &members = m_parts.m_members;
+    const bool serving = members.own().m_state == static_cast<std::uint32_t>(MemberState::Serving);
+    if (serving && m_parts.m_backend.announced(steady_clock::now()) == nullptr)
+        members.updateOwn(members.own().m_service, 0, MemberState::Joining);
+    for (const std::string &peer : m_parts.m_settings.m_peers) {
+        if (peer != m_parts.m_settings.m_advertisedAddress)
+            m_parts.m_transport->send({false, peer}, messages::Heartbeat{members.own()});
     }
-    if (problem.empty())
-        co_await sendJson(exchange, 200, "{}");
-    else
-        co_await sendJson(exchange, 400, R"({"reason":"malformed announcement"})");
 }
 
-adapters::Task<> Node::pollConfiguration()
+adapters::Task<> Node::sendHeartbeats()
 {
     const std::shared_ptr<bool> running = m_running;
     while (*running) {
-        co_await m_configurationStore.refresh();
-        co_await adapters::sleepFor(m_settings.m_configurationPollInterval);
+        sendHeartbeat();
+        co_await adapters::sleepFor(m_parts.m_settings.m_heartbeatInterval);
     }
 }
 
-adapters::Task<> Node::sendHeartbeats()
+adapters::Task<> Node::refreshCandidates()
 {
     const std::shared_ptr<bool> running = m_running;
+    std::uint64_t seenRevision = 0;
+    int rounds = 0;
     while (*running) {
-        if (m_members.own().m_state == static_cast<std::uint32_t>(MemberState::Serving)
-            && m_backend.announced(std::chrono::steady_clock::now()) == nullptr)
-            m_members.updateOwn(m_members.own().m_service, 0, MemberState::Joining);
-        for (const std::string &peer : m_settings.m_peers) {
-            if (peer != m_settings.m_advertisedAddress)
-                m_transport->send({false, peer}, messages::Heartbeat{m_members.own()});
+        // Members that fall silent do not change their record, so all are looked at now and then.
+        constexpr int FullRounds = 20;
+        const std::uint64_t revision = m_parts.m_members.revision();
+        if (revision != seenRevision || ++rounds >= FullRounds) {
+            rounds = 0;
+            seenRevision = revision;
+            const steady_clock::time_point now = steady_clock::now();
+            m_parts.m_router.refresh(now);
+            m_parts.m_router.setLink(static_cast<double>(m_parts.m_settings.m_linkBytesPerSecond),
+                                     static_cast<int>(m_parts.m_members.all().size()) + 1, now);
         }
-        co_await adapters::sleepFor(m_settings.m_heartbeatInterval);
+        co_await adapters::sleepFor(RefreshInterval);
     }
 }
 
 void Node::stop()
 {
-    if (m_leaving)
+    if (m_parts.m_leaving)
         return;
-    m_leaving = true;
-    m_incoming.setLeaving();
-    m_members.updateOwn(m_members.own().m_service, 0, MemberState::Leaving);
+    m_parts.m_leaving = true;
+    m_parts.m_incoming.setLeaving(true);
+    m_parts.m_members.updateOwn(m_parts.m_members.own().m_service, 0, MemberState::Leaving);
+    sendHeartbeat();
     m_callers->stopAccepting();
-    boost::asio::co_spawn(m_context, drain(), boost::asio::detached);
+    boost::asio::co_spawn(m_parts.m_context, drain(), boost::asio::detached);
 }
 
 adapters::Task<> Node::drain()
 {
-    while (m_incoming.active() > 0 || m_outgoing.active() > 0 || m_callers->activeRequests() > 0)
+    const std::shared_ptr<bool> running = m_running;
+    while (*running
+           && (m_parts.m_incoming.active() > 0 || m_parts.m_outgoing.active() > 0
+               || m_parts.m_claims.active() > 0 || m_callers->activeRequests() > 0))
         co_await adapters::sleepFor(DrainInterval);
+    if (!*running)
+        co_return;
+    m_parts.m_members.updateOwn(m_parts.m_members.own().m_service, 0, MemberState::Left);
+    sendHeartbeat();
     co_await adapters::sleepFor(FlushTime);
+    if (!*running)
+        co_return;
     *m_running = false;
     m_callers->close();
     m_local->close();
     m_operators->close();
-    m_transport->close();
-    m_context.stop();
+    m_parts.m_transport->close();
+    m_stopped = true;
+    if (m_onStopped)
+        m_onStopped();
 }
 
 } // namespace chervilmount::node
--- a/packages/node/settings/nodesettings.cpp
+++ b/packages/node/settings/nodesettings.cpp
@@ -1,5 +1,6 @@
 #include "node/settings/nodesettings.h"
 
+#include "model/digest/keydigester.h"
 #include "model/findings/findingserror.h"
 #include "node/settings/settingsreader.h"
 
@@ -15,7 +16,7 @@
 
 constexpr std::uint64_t MaximumBytes = 1ULL << 32U;
 constexpr std::uint64_t MaximumConnections = 1000000;
-constexpr std::size_t MinimumDigestKeyBytes = 16;
+
 constexpr std::size_t MeshKeyCharacters = 40;
 
 void readSize(SettingsReader &reader, const char *name, std::size_t &target)
@@ -51,6 +52,8 @@
     reader.read("backendConnectTimeoutMilliseconds", settings.m_backendConnectTimeout);
     readSize(reader, "replayBytes", settings.m_replayBytes);
     readSize(reader, "incomingCalls", settings.m_incomingCalls);
+    readSize(reader, "onceOnlyBodyBytes", settings.m_onceOnlyBodyBytes);
+    readSize(reader, "recordedResponseBytes", settings.m_recordedResponseBytes);
     reader.reportUnknown();
 }
 
@@ -130,9 +133,10 @@
     readPlatform(reader, source, findings, settings.m_platform);
     readMesh(reader, source, findings, settings.m_meshKeys);
     reader.read("digestKey", settings.m_digestKey, true);
-    if (settings.m_digestKey.size() < MinimumDigestKeyBytes)
-        reader.report("digestKey", "too short", "use at least 16 characters");
+    if (settings.m_digestKey.size() < model::MinimumDigestKeyBytes)
+        reader.report("digestKey", "too short", "use at least 32 characters");
     readLimits(reader, source, findings, settings);
+    reader.read("linkBytesPerSecond", settings.m_linkBytesPerSecond, 0, MaximumBytes);
     reader.read("heartbeatIntervalMilliseconds", settings.m_heartbeatInterval);
     reader.read("configurationPollIntervalMilliseconds", settings.m_configurationPollInterval);
     readLog(reader, source, findings, settings);
--- a/packages/node/settings/nodesettings.h
+++ b/packages/node/settings/nodesettings.h
@@ -43,6 +43,12 @@
     std::size_t m_replayBytes = 256 * 1024;
     /** Calls from other nodes that may be active at once. */
     std::size_t m_incomingCalls = 10000;
+    /** Largest body of a once-only request, which is held in memory. */
+    std::size_t m_onceOnlyBodyBytes = 1024 * 1024;
+    /** Largest response of a once-only request that is recorded for repeats. */
+    std::size_t m_recordedResponseBytes = 16 * 1024 * 1024;
+    /** Rate of the paid link between regions, in bytes a second each way. */
+    std::uint64_t m_linkBytesPerSecond = 30ULL * 1000 * 1000 / 8;
     std::chrono::milliseconds m_heartbeatInterval{1000};
     std::chrono::milliseconds m_configurationPollInterval{500};
     /** log4cxx level: "off", "error", "warn", "info" or "debug". */
