--- a/packages/messages/codec/framecodec.cpp
+++ b/packages/messages/codec/framecodec.cpp
@@ -1,5 +1,7 @@
 #include "messages/codec/framecodec.h"
 
+#include "messages/codec/membershipcodec.h"
+
 #include <envelope.pb.h>
 
 #include <algorithm>
@@ -133,16 +135,9 @@
     write(frame.m_load, *out.mutable_load());
 }
 
-void write(const Heartbeat &frame, wire::Envelope &envelope)
+void write(const MembershipMessage &frame, wire::Envelope &envelope)
 {
-    wire::MemberRecord &out = *envelope.mutable_heartbeat()->mutable_sender();
-    out.set_failure_domain(frame.m_sender.m_failureDomain);
-    out.set_address(frame.m_sender.m_address);
-    out.set_incarnation(frame.m_sender.m_incarnation);
-    out.set_service(frame.m_sender.m_service);
-    out.set_slots(frame.m_sender.m_slots);
-    out.set_state(frame.m_sender.m_state);
-    out.set_version(frame.m_sender.m_version);
+    writeMembership(frame, *envelope.mutable_membership());
 }
 
 bool read(const wire::CallKey &in, CallKey &key)
@@ -248,11 +243,11 @@
     return frame;
 }
 
-std::optional<Frame> readHeartbeat(const wire::Heartbeat &in)
+std::optional<Frame> readMembershipFrame(const wire::MembershipMessage &in)
 {
-    const wire::MemberRecord &sender = in.sender();
-    return Heartbeat{{sender.failure_domain(), sender.address(), sender.incarnation(),
-                      sender.service(), sender.slots(), sender.state(), sender.version()}};
+    if (std::optional<MembershipMessage> message = readMembership(in))
+        return *message;
+    return std::nullopt;
 }
 
 template<typename FrameType, typename Message>
@@ -327,8 +322,8 @@
         return readRefusal(envelope.refusal());
     case wire::Envelope::kBodyWindow:
         return readWindow<BodyWindow>(envelope.body_window());
-    case wire::Envelope::kHeartbeat:
-        return readHeartbeat(envelope.heartbeat());
+    case wire::Envelope::kMembership:
+        return readMembershipFrame(envelope.membership());
     case wire::Envelope::CONTENT_NOT_SET:
         break;
     }
--- a/packages/messages/frames/frames.h
+++ b/packages/messages/frames/frames.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "membership/message/payload.h"
 #include "model/request/requestcontext.h"
 
 #include <chrono>
@@ -144,26 +145,15 @@
     LoadReport m_load;
 };
 
-/** A node's record in the member table. */
-struct MemberRecord
+/** A message of the membership protocol. */
+struct MembershipMessage
 {
-    std::string m_failureDomain;
-    std::string m_address;
-    std::uint64_t m_incarnation = 0;
-    std::string m_service;
-    std::uint32_t m_slots = 0;
-    std::uint32_t m_state = 0;
-    std::uint64_t m_version = 0;
-};
-
-/** Tells a neighbour that the sender is alive. */
-struct Heartbeat
-{
-    MemberRecord m_sender;
+    membership::NodeId m_from;
+    membership::Payload m_payload;
 };
 
 /** One message between nodes. */
 using Frame = std::variant<CallStart, CallBody, CallCancel, AnswerHead, AnswerChunk, AnswerEnd,
-                           AnswerWindow, BodyWindow, Refusal, Heartbeat>;
+                           AnswerWindow, BodyWindow, Refusal, MembershipMessage>;
 
 } // namespace chervilmount::messages
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -2,7 +2,7 @@
  * The messages package: the frames that nodes exchange as plain structs, and their encoding as
  * protobuf envelopes. It does no input or output.
  *
- * Dependencies: model, protobuf (generated code is committed in generated/).
+ * Dependencies: model, membership (payloads), protobuf (generated code is committed in generated/).
  */
 #pragma once
 
--- a/packages/node/control/operatorapi.cpp
+++ b/packages/node/control/operatorapi.cpp
@@ -112,14 +112,16 @@
         co_await sendJson(exchange, 200, R"({"status":"alive"})");
     } else if (path == "/ready") {
         const bool ready = isReady(parts);
-        co_await sendJson(exchange, ready ? 200 : 503,
-                          ready ? R"({"ready":true})" : R"({"ready":false})");
+        const std::string text = ready ? R"({"ready":true})" : R"({"ready":false})";
+        co_await sendJson(exchange, ready ? 200 : 503, text);
     } else if (path == "/metrics") {
         co_await sendMetrics(parts, exchange);
     } else if (path == "/operators/configuration") {
-        const std::string view = configurationView(parts);
-        co_await sendJson(exchange, view.empty() ? 404 : 200,
-                          view.empty() ? R"({"reason":"no configuration"})" : view);
+        std::string view = configurationView(parts);
+        const int status = view.empty() ? 404 : 200;
+        if (view.empty())
+            view = R"({"reason":"no configuration"})";
+        co_await sendJson(exchange, status, view);
     } else if (path == "/operators/members") {
         co_await sendJson(exchange, 200, membersView(parts));
     } else if (path == "/operators/limits") {
--- a/packages/node/control/operatorviews.cpp
+++ b/packages/node/control/operatorviews.cpp
@@ -5,25 +5,33 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
-#include <array>
-
 namespace chervilmount::node {
 
 namespace json = boost::json;
 
 namespace {
 
-std::string_view stateText(std::uint32_t state)
+std::string_view stateText(membership::MemberState state)
 {
-    constexpr std::array<std::string_view, 5> Names{"joining", "serving", "leaving", "left",
-                                                    "failed"};
-    return state < Names.size() ? Names[state] : "unknown";
+    switch (state) {
+    case membership::MemberState::Joining:
+        return "joining";
+    case membership::MemberState::Serving:
+        return "serving";
+    case membership::MemberState::Leaving:
+        return "leaving";
+    case membership::MemberState::Left:
+        return "left";
+    case membership::MemberState::Failed:
+        break;
+    }
+    return "failed";
 }
 
-json::object memberJson(const messages::MemberRecord &record)
+json::object memberJson(const membership::MemberRecord &record)
 {
-    return {{"failureDomain", record.m_failureDomain},
-            {"address", record.m_address},
+    return {{"failureDomain", record.m_id.m_failureDomain},
+            {"address", record.m_id.m_address},
             {"incarnation", record.m_incarnation},
             {"service", record.m_service},
             {"slots", record.m_slots},
@@ -65,9 +73,11 @@
 
 std::string membersView(const NodeParts &parts)
 {
-    json::array list{memberJson(parts.m_members.own())};
-    for (const auto &[address, member] : parts.m_members.all())
-        list.push_back(memberJson(member.m_record));
+    json::array list;
+    parts.m_membership.state().m_table.forEach(std::chrono::steady_clock::now(),
+                                               [&list](const membership::MemberRecord &record) {
+                                                   list.push_back(memberJson(record));
+                                               });
     return json::serialize(json::object{{"members", std::move(list)}});
 }
 
--- a/packages/node/entry/callerhandler.cpp
+++ b/packages/node/entry/callerhandler.cpp
@@ -21,10 +21,10 @@
     const CallPlan *plan = std::get_if<CallPlan>(&decision);
     if (plan == nullptr)
         return decision;
-    const overload::Rank threshold = parts.m_router.threshold(plan->m_service, plan->m_route, now);
-    const overload::EntryDecision shed =
-            overload::decideEntry(plan->m_context.m_rank, threshold, parts.m_random);
+    const overload::ThresholdDecision shed = parts.m_router.decideSend(
+            plan->m_service, plan->m_route, plan->m_context.m_rank, now, parts.m_random);
     if (!shed.m_sendOn) {
+        creditCaller(parts.m_entry, *plan);
         return RefusalReply{503, true, std::string(overload::toText(shed.m_reason)),
                             overload::callerRetryDelay(plan->m_callerRepeats, parts.m_random)};
     }
@@ -87,7 +87,9 @@
     if (CallPlan *plan = std::get_if<CallPlan>(&decision)) {
         recordPlan(parts, *plan);
         const int repeats = plan->m_callerRepeats;
-        outcome = co_await runPlan(parts, exchange, std::move(*plan));
+        outcome = co_await runPlan(parts, exchange, *plan);
+        if (outcome.m_refusal && outcome.m_refusal->m_notRun)
+            creditCaller(parts.m_entry, *plan);
         if (outcome.m_refusal && outcome.m_refusal->m_retryAfter.count() > 0)
             outcome.m_refusal->m_retryAfter = overload::callerRetryDelay(repeats, parts.m_random);
     } else {
--- a/packages/node/entry/callerrequests.cpp
+++ b/packages/node/entry/callerrequests.cpp
@@ -30,18 +30,25 @@
             digester.digest(authorization.substr(BearerPrefix.size())));
 }
 
-/** Rate of the organisation's share in this failure domain, in requests a second. */
-double shareRate(const PublishedConfiguration &configuration,
-                 const model::Organisation &organisation, const std::string &failureDomain)
+/** The organisation's fraction in this failure domain. */
+double shareFraction(const PublishedConfiguration &configuration,
+                     const model::Organisation &organisation, const std::string &failureDomain)
 {
     for (const model::BaseShare &share : organisation.m_shares) {
         if (share.m_failureDomain == failureDomain)
-            return organisation.m_rate * share.m_fraction;
+            return share.m_fraction;
     }
     const std::size_t domains = configuration.m_set.configuration().m_failureDomains.size();
     if (!organisation.m_shares.empty() || domains == 0)
-        return organisation.m_rate;
-    return organisation.m_rate / static_cast<double>(domains);
+        return 0.0;
+    return 1.0 / static_cast<double>(domains);
+}
+
+NodeShare shareOf(const EntryInput &input, const model::Organisation &organisation)
+{
+    const double part = shareFraction(*input.m_configuration, organisation, input.m_failureDomain)
+            / static_cast<double>(std::max<std::size_t>(1, input.m_nodesInDomain));
+    return {organisation.m_rate * part, std::max(1.0, organisation.m_burst * part)};
 }
 
 std::optional<RefusalReply> checkFreshness(const EntryInput &input,
@@ -76,9 +83,7 @@
     int level = 0;
     if (organisation != nullptr) {
         const double used = overload::recordUse(state.m_usage[organisation->m_name], input.m_now);
-        level = overload::overUseLevel(
-                used, shareRate(*input.m_configuration, *organisation, input.m_failureDomain),
-                plan.m_callerRepeats);
+        level = overload::overUseLevel(used, plan.m_share.m_rate, plan.m_callerRepeats);
     }
     plan.m_context.m_rank =
             overload::makeRank(plan.m_context.m_priority, level, plan.m_context.m_requestId);
@@ -104,6 +109,12 @@
 
 } // namespace
 
+void creditCaller(EntryState &state, const CallPlan &plan)
+{
+    if (!plan.m_context.m_organisation.empty())
+        returnToken(state.m_buckets[plan.m_context.m_organisation], plan.m_share);
+}
+
 void removeReservedFields(std::vector<adapters::HttpField> &fields)
 {
     std::erase_if(fields, [](const adapters::HttpField &field) {
@@ -143,7 +154,16 @@
     plan.m_maximumBodyBytes = route->m_maximumBodyBytes;
     plan.m_idempotencyKey = std::string(head.field("Idempotency-Key"));
     plan.m_callerRepeats = countRepeats(state, input, head, plan.m_context.m_organisation);
-    setRank(state, input, configuration.m_index.organisation(plan.m_context.m_organisation), plan);
+    const model::Organisation *organisation =
+            configuration.m_index.organisation(plan.m_context.m_organisation);
+    if (organisation != nullptr)
+        plan.m_share = shareOf(input, *organisation);
+    setRank(state, input, organisation, plan);
+    if (organisation != nullptr) {
+        ShareBucket &bucket = state.m_buckets[organisation->m_name];
+        if (!takeToken(bucket, plan.m_share, input.m_now))
+            return RefusalReply{429, true, "rate", untilNextToken(bucket, plan.m_share)};
+    }
     removeReservedFields(plan.m_head.m_fields);
     return plan;
 }
--- a/packages/node/entry/callerrequests.h
+++ b/packages/node/entry/callerrequests.h
@@ -23,6 +23,8 @@
     RepeatCounter m_repeats;
     /** Use of each organisation at this node. */
     std::map<std::string, overload::UsageMeter> m_usage;
+    /** Tokens of each organisation at this node. */
+    std::map<std::string, ShareBucket> m_buckets;
 };
 
 /** What the decision on a caller's request depends on. */
@@ -33,6 +35,8 @@
     /** Age of the freshness proof; nothing without any proof. */
     std::optional<std::chrono::nanoseconds> m_proofAge;
     std::string m_failureDomain;
+    /** Nodes of the own failure domain that may be entry nodes; at least 1. */
+    std::size_t m_nodesInDomain = 1;
     model::RequestId m_id{};
     std::chrono::steady_clock::time_point m_now;
 };
@@ -47,6 +51,9 @@
                            const model::KeyDigester &digester,
                            const adapters::HttpRequestHead &head);
 
+/** Credits a request that was charged and did not run. */
+void creditCaller(EntryState &state, const CallPlan &plan);
+
 /** Removes the caller's key and the fields that only nodes may set. */
 void removeReservedFields(std::vector<adapters::HttpField> &fields);
 
--- a/packages/node/entry/callplan.h
+++ b/packages/node/entry/callplan.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http/httpmessage.h"
 #include "model/request/requestcontext.h"
+#include "node/entry/sharebucket.h"
 #include "overload/overload.h"
 
 #include <chrono>
@@ -21,6 +22,8 @@
     overload::NestedCalls m_nestedCalls = overload::NestedCalls::Possible;
     /** Earlier repeats of the request by its caller. */
     int m_callerRepeats = 0;
+    /** Share that the request was charged to; credited if it does not run. */
+    NodeShare m_share;
     /** Head for the backend server, without the caller's key. */
     adapters::HttpRequestHead m_head;
     std::uint64_t m_maximumBodyBytes = 0;
--- a/packages/node/inbound/incomingcalls.cpp
+++ b/packages/node/inbound/incomingcalls.cpp
@@ -199,6 +199,7 @@
     arriving.m_organisation = overload::numberOf(m_organisations, call->m_start.m_organisation);
     arriving.m_rank = std::min(call->m_start.m_rank, overload::HighestRank);
     arriving.m_deadline = call->m_deadline;
+    arriving.m_nested = call->m_start.m_pathDepth > 0;
     overload::AdmissionEffects effects;
     const overload::AdmissionDecision decision =
             overload::arrive(m_admission, arriving, steady_clock::now(), effects);
--- a/packages/node/inbound/localhandler.cpp
+++ b/packages/node/inbound/localhandler.cpp
@@ -45,8 +45,10 @@
     } catch (const std::invalid_argument &) {
         return false;
     }
-    parts.m_members.updateOwn(announcement->m_service, announcement->m_slots,
-                              parts.m_leaving ? MemberState::Leaving : MemberState::Serving);
+    if (!parts.m_leaving) {
+        parts.m_membership.take(
+                membership::BackendAnnounced{announcement->m_service, announcement->m_slots});
+    }
     return true;
 }
 
@@ -117,7 +119,7 @@
         co_await handleAnnounce(parts, exchange);
     } else if (request.m_method == "POST" && request.m_target == "/backend/leave") {
         parts.m_backend.leave();
-        parts.m_members.updateOwn(parts.m_members.own().m_service, 0, MemberState::Leaving);
+        parts.m_membership.take(membership::BackendLost{});
         co_await sendJson(exchange, 200, "{}");
     } else {
         co_await handleNested(parts, exchange);
--- a/packages/node/outbound/servicerouter.cpp
+++ b/packages/node/outbound/servicerouter.cpp
@@ -64,11 +64,13 @@
     return static_cast<std::uint32_t>(place - candidates.begin());
 }
 
-overload::Rank ServiceRouter::threshold(const std::string &service, const std::string &route,
-                                        std::chrono::steady_clock::time_point now)
+overload::ThresholdDecision ServiceRouter::decideSend(const std::string &service,
+                                                      const std::string &route, overload::Rank rank,
+                                                      std::chrono::steady_clock::time_point now,
+                                                      std::mt19937_64 &random)
 {
-    return routing::serviceThreshold(serviceOf(service, now).m_candidates,
-                                     overload::numberOf(m_routes, route), now);
+    return routing::decideSend(serviceOf(service, now).m_candidates,
+                               overload::numberOf(m_routes, route), rank, now, random);
 }
 
 ChosenNode ServiceRouter::choose(const RouteRequest &request,
--- a/packages/node/outbound/servicerouter.h
+++ b/packages/node/outbound/servicerouter.h
@@ -52,9 +52,11 @@
     void setLink(double bytesPerSecond, int nodesInRegion,
                  std::chrono::steady_clock::time_point now);
 
-    /** @returns the highest rank that the service admits for a route. */
-    overload::Rank threshold(const std::string &service, const std::string &route,
-                             std::chrono::steady_clock::time_point now);
+    /** Decides at the threshold of the service whether a request goes on to it. */
+    overload::ThresholdDecision decideSend(const std::string &service, const std::string &route,
+                                           overload::Rank rank,
+                                           std::chrono::steady_clock::time_point now,
+                                           std::mt19937_64 &random);
 
     /** Chooses a node and counts the start of a call there. */
     ChosenNode choose(const RouteRequest &request, std::chrono::steady_clock::time_point now,
--- a/packages/node/runtime/node.cpp
+++ b/packages/node/runtime/node.cpp
@@ -62,8 +62,8 @@
             executor, own.m_operatorAddress, own.m_operatorLimits,
             [this](adapters::HttpExchange &exchange) { return handleOperator(m_parts, exchange); });
     boost::asio::co_spawn(context, pollConfiguration(), boost::asio::detached);
-    boost::asio::co_spawn(context, sendHeartbeats(), boost::asio::detached);
-    boost::asio::co_spawn(context, refreshCandidates(), boost::asio::detached);
+    m_parts.m_membership.start();
+    boost::asio::co_spawn(context, watchMembers(), boost::asio::detached);
 }
 
 Node::~Node()
@@ -73,8 +73,8 @@
 
 void Node::receive(const adapters::PeerHandle &from, messages::Frame &&frame)
 {
-    if (const auto *heartbeat = std::get_if<messages::Heartbeat>(&frame))
-        m_parts.m_members.receive(heartbeat->m_sender, steady_clock::now());
+    if (const auto *message = std::get_if<messages::MembershipMessage>(&frame))
+        m_parts.m_membership.receive(*message);
     else if (from.m_inbound)
         m_parts.m_incoming.receive(from, std::move(frame));
     else
@@ -92,43 +92,33 @@
     }
 }
 
-void Node::sendHeartbeat()
+void Node::watchBackend(steady_clock::time_point now)
 {
-    Members &members = m_parts.m_members;
-    const bool serving = members.own().m_state == static_cast<std::uint32_t>(MemberState::Serving);
-    if (serving && m_parts.m_backend.announced(steady_clock::now()) == nullptr)
-        members.updateOwn(members.own().m_service, 0, MemberState::Joining);
-    for (const std::string &peer : m_parts.m_settings.m_peers) {
-        if (peer != m_parts.m_settings.m_advertisedAddress)
-            m_parts.m_transport->send({false, peer}, messages::Heartbeat{members.own()});
-    }
-}
-
-adapters::Task<> Node::sendHeartbeats()
-{
-    const std::shared_ptr<bool> running = m_running;
-    while (*running) {
-        sendHeartbeat();
-        co_await adapters::sleepFor(m_parts.m_settings.m_heartbeatInterval);
-    }
+    const bool announced = m_parts.m_backend.announced(now) != nullptr;
+    if (m_backendAnnounced && !announced)
+        m_parts.m_membership.take(membership::BackendLost{});
+    m_backendAnnounced = announced;
 }
 
-adapters::Task<> Node::refreshCandidates()
+adapters::Task<> Node::watchMembers()
 {
     const std::shared_ptr<bool> running = m_running;
     std::uint64_t seenRevision = 0;
-    int rounds = 0;
+    std::uint64_t seenVersion = 0;
     while (*running) {
-        // Members that fall silent do not change their record, so all are looked at now and then.
-        constexpr int FullRounds = 20;
-        const std::uint64_t revision = m_parts.m_members.revision();
-        if (revision != seenRevision || ++rounds >= FullRounds) {
-            rounds = 0;
+        const steady_clock::time_point now = steady_clock::now();
+        watchBackend(now);
+        const std::uint64_t revision = m_parts.m_membership.revision();
+        const auto &configuration = m_parts.m_configuration.current();
+        // A new version may change the region of a failure domain.
+        const std::uint64_t version = configuration ? configuration->version() : 0;
+        if (revision != seenRevision || version != seenVersion) {
             seenRevision = revision;
-            const steady_clock::time_point now = steady_clock::now();
+            seenVersion = version;
             m_parts.m_router.refresh(now);
             m_parts.m_router.setLink(static_cast<double>(m_parts.m_settings.m_linkBytesPerSecond),
-                                     static_cast<int>(m_parts.m_members.all().size()) + 1, now);
+                                     static_cast<int>(m_parts.m_membership.state().m_table.size()),
+                                     now);
         }
         co_await adapters::sleepFor(RefreshInterval);
     }
@@ -140,8 +130,7 @@
         return;
     m_parts.m_leaving = true;
     m_parts.m_incoming.setLeaving(true);
-    m_parts.m_members.updateOwn(m_parts.m_members.own().m_service, 0, MemberState::Leaving);
-    sendHeartbeat();
+    m_parts.m_membership.take(membership::LeaveStarted{});
     m_callers->stopAccepting();
     boost::asio::co_spawn(m_parts.m_context, drain(), boost::asio::detached);
 }
@@ -155,8 +144,7 @@
         co_await adapters::sleepFor(DrainInterval);
     if (!*running)
         co_return;
-    m_parts.m_members.updateOwn(m_parts.m_members.own().m_service, 0, MemberState::Left);
-    sendHeartbeat();
+    m_parts.m_membership.take(membership::LeaveFinished{});
     co_await adapters::sleepFor(FlushTime);
     if (!*running)
         co_return;
--- a/packages/node/runtime/node.h
+++ b/packages/node/runtime/node.h
@@ -35,19 +35,22 @@
     /** Called when the graceful shutdown is complete. */
     std::function<void()> m_onStopped;
 
+    /** @returns the counters of the callers' listener. */
+    const adapters::HttpListener::Counters &callerCounters() const { return m_callers->counters(); }
+
     NodeParts &parts() { return m_parts; }
     const NodeParts &parts() const { return m_parts; }
 
 private:
     void receive(const adapters::PeerHandle &from, messages::Frame &&frame);
     adapters::Task<> pollConfiguration();
-    adapters::Task<> sendHeartbeats();
-    adapters::Task<> refreshCandidates();
+    adapters::Task<> watchMembers();
+    void watchBackend(std::chrono::steady_clock::time_point now);
     adapters::Task<> drain();
-    void sendHeartbeat();
 
     NodeParts m_parts;
     bool m_stopped = false;
+    bool m_backendAnnounced = false;
     std::shared_ptr<bool> m_running = std::make_shared<bool>(true);
     std::unique_ptr<adapters::HttpListener> m_callers;
     std::unique_ptr<adapters::HttpListener> m_local;
--- a/packages/node/runtime/nodeparts.cpp
+++ b/packages/node/runtime/nodeparts.cpp
@@ -1,18 +1,22 @@
 #include "node/runtime/nodeparts.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace chervilmount::node {
 
 namespace {
 
-messages::MemberRecord ownRecord(const NodeSettings &settings, std::uint64_t incarnation)
+membership::MembershipSettings membershipSettings(const NodeSettings &settings)
 {
-    messages::MemberRecord record;
-    record.m_failureDomain = settings.m_failureDomain;
-    record.m_address = settings.m_advertisedAddress;
-    record.m_incarnation = incarnation;
-    return record;
+    membership::MembershipSettings result;
+    result.m_heartbeatInterval = settings.m_heartbeatInterval;
+    // The failure domains of peers from the settings are learnt from their first message.
+    for (const std::string &peer : settings.m_peers) {
+        if (peer != settings.m_advertisedAddress)
+            result.m_peers.push_back({"", peer});
+    }
+    return result;
 }
 
 std::string regionOf(const ConfigurationState &configuration, const std::string &failureDomain)
@@ -34,7 +38,12 @@
     , m_digester(m_settings.m_digestKey)
     , m_platform(context.get_executor(), m_settings.m_platform)
     , m_configurationStore(m_platform, m_configuration)
-    , m_members(ownRecord(m_settings, incarnation))
+    , m_membership(context.get_executor(), membershipSettings(m_settings),
+                   {m_settings.m_failureDomain, m_settings.m_advertisedAddress}, incarnation,
+                   m_platform, m_random,
+                   [this](const std::string &address, const messages::Frame &frame) {
+                       m_transport->send({false, address}, frame);
+                   })
     , m_backend(context.get_executor(), m_settings.m_backendHeadBytes,
                 m_settings.m_backendConnectTimeout)
     , m_incoming(context.get_executor(), m_backend, m_recorder, m_settings.m_incomingCalls,
@@ -56,14 +65,14 @@
 {
     const std::string ownRegion = regionOf(m_configuration, m_settings.m_failureDomain);
     std::vector<routing::Member> members;
-    for (const messages::MemberRecord &record :
-         m_members.serving(service, std::chrono::steady_clock::now())) {
+    for (const membership::MemberRecord &record : m_membership.serving(service)) {
+        const std::string &domain = record.m_id.m_failureDomain;
         routing::Member member;
-        member.m_nodeId = record.m_address;
+        member.m_nodeId = record.m_id.m_address;
         member.m_slots = std::max(1, static_cast<int>(record.m_slots));
-        if (record.m_failureDomain == m_settings.m_failureDomain)
+        if (domain == m_settings.m_failureDomain)
             member.m_place = routing::Place::SameFailureDomain;
-        else if (regionOf(m_configuration, record.m_failureDomain) == ownRegion)
+        else if (regionOf(m_configuration, domain) == ownRegion)
             member.m_place = routing::Place::SameRegion;
         else
             member.m_place = routing::Place::OtherRegion;
@@ -72,11 +81,22 @@
     return members;
 }
 
+std::size_t NodeParts::nodesInDomain() const
+{
+    const std::size_t present =
+            m_membership.state().m_table.domain(m_settings.m_failureDomain).m_presentMembers;
+    return std::max<std::size_t>(1, present);
+}
+
 EntryInput NodeParts::entryInput(const model::RequestId &id,
                                  std::chrono::steady_clock::time_point now) const
 {
-    return {m_configuration.current().get(), m_configuration.proofAge(now),
-            m_settings.m_failureDomain, id, now};
+    return {m_configuration.current().get(),
+            m_configuration.proofAge(now),
+            m_settings.m_failureDomain,
+            nodesInDomain(),
+            id,
+            now};
 }
 
 } // namespace chervilmount::node
--- a/packages/node/runtime/nodeparts.h
+++ b/packages/node/runtime/nodeparts.h
@@ -6,7 +6,7 @@
 #include "node/calls/outgoingcalls.h"
 #include "node/control/configurationstate.h"
 #include "node/control/configurationstore.h"
-#include "node/control/members.h"
+#include "node/control/membershipservice.h"
 #include "node/entry/callerrequests.h"
 #include "node/entry/callrunner.h"
 #include "node/entry/claimservice.h"
@@ -40,6 +40,9 @@
     /** @returns the members of a service as candidates for the choice of a node. */
     std::vector<routing::Member> membersOf(const std::string &service) const;
 
+    /** @returns the number of present nodes in the own failure domain; at least 1. */
+    std::size_t nodesInDomain() const;
+
     /** @returns what the decision on a request depends on. */
     EntryInput entryInput(const model::RequestId &id,
                           std::chrono::steady_clock::time_point now) const;
@@ -55,8 +58,8 @@
     ConfigurationState m_configuration;
     adapters::PlatformClient m_platform;
     ConfigurationStore m_configurationStore;
-    Members m_members;
     std::unique_ptr<adapters::PeerTransport> m_transport;
+    MembershipService m_membership;
     BackendServer m_backend;
     IncomingCalls m_incoming;
     OutgoingCalls m_outgoing;
--- a/tests/messages/framecodec_test.cpp
+++ b/tests/messages/framecodec_test.cpp
@@ -139,3 +139,56 @@
         CHECK_NOTHROW(decodeFrame(bytes));
     }
 }
+
+// Guards against a field of the member table that is lost between two nodes.
+TEST_CASE("Membership messages keep their payload over the wire")
+{
+    namespace ms = chervilmount::membership;
+    ms::MemberRecord record;
+    record.m_id = {"a1", "127.0.0.1:1"};
+    record.m_incarnation = 0xffffffffffffULL;
+    record.m_version = 7;
+    record.m_state = ms::MemberState::Failed;
+    record.m_service = "slipdesk";
+    record.m_slots = 50;
+    record.m_endedFor = std::chrono::seconds(9);
+    const MembershipMessage events = roundTrip(MembershipMessage{
+            {"a1", "127.0.0.1:2"}, ms::MemberEvents{{record}, {{"b", false, 3}}}});
+    CHECK(events.m_from == ms::NodeId{"a1", "127.0.0.1:2"});
+    const ms::MemberEvents &received = std::get<ms::MemberEvents>(events.m_payload);
+    CHECK(received.m_records == std::vector<ms::MemberRecord>{record});
+    CHECK(received.m_domainViews == std::vector<ms::DomainView>{{"b", false, 3}});
+    ms::Heartbeat heartbeat;
+    heartbeat.m_clock.m_incarnation = 5;
+    heartbeat.m_clock.m_sentAt = std::chrono::microseconds(6);
+    heartbeat.m_clock.m_echo = std::chrono::microseconds(0);
+    heartbeat.m_clock.m_echoIncarnation = 8;
+    heartbeat.m_clock.m_hold = std::chrono::microseconds(9);
+    heartbeat.m_version = 10;
+    heartbeat.m_tableDigest = 11;
+    heartbeat.m_unreachableDomains = {"c"};
+    heartbeat.m_isReply = true;
+    const MembershipMessage beat = roundTrip(MembershipMessage{{"", "x"}, heartbeat});
+    const ms::Heartbeat &back = std::get<ms::Heartbeat>(beat.m_payload);
+    CHECK(back.m_clock.m_incarnation == 5);
+    CHECK(back.m_clock.m_sentAt == std::chrono::microseconds(6));
+    CHECK(back.m_clock.m_echo == std::chrono::microseconds(0));
+    CHECK(back.m_clock.m_echoIncarnation == 8);
+    CHECK(back.m_clock.m_hold == std::chrono::microseconds(9));
+    CHECK(back.m_version == 10);
+    CHECK(back.m_tableDigest == 11);
+    CHECK(back.m_unreachableDomains == std::vector<std::string>{"c"});
+    CHECK(back.m_isReply);
+    ms::MemberSyncBuckets buckets;
+    buckets.m_failureDomain = "a1";
+    buckets.m_digests[63] = 99;
+    const MembershipMessage sync = roundTrip(MembershipMessage{{"a1", "x"}, buckets});
+    CHECK(std::get<ms::MemberSyncBuckets>(sync.m_payload).m_digests == buckets.m_digests);
+    const MembershipMessage page =
+            roundTrip(MembershipMessage{{"a1", "x"}, ms::TablePage{1, 2, {record}}});
+    CHECK(std::get<ms::TablePage>(page.m_payload).m_records.size() == 1);
+    // A page number beyond the pages would be asked for without end.
+    CHECK_FALSE(decodeFrame(
+            encodeFrame(MembershipMessage{{"a1", "x"}, ms::TablePage{2, 2, {record}}})));
+    CHECK_FALSE(decodeFrame(encodeFrame(MembershipMessage{{"a1", ""}, ms::RecordRequest{}})));
+}
--- a/tests/node/support/fleet.h
+++ b/tests/node/support/fleet.h
@@ -39,6 +39,7 @@
                                                     std::size_t count);
 
     boost::asio::any_io_executor executor() { return m_context.get_executor(); }
+    std::size_t size() const { return m_nodes.size(); }
     FakePlatform &platform() { return *m_platform; }
     chervilmount::node::Node &node(std::size_t index) { return *m_nodes[index]; }
     const chervilmount::node::NodeSettings &settings(std::size_t index) const
