--- a/packages/node/control/operatorapi.cpp
+++ b/packages/node/control/operatorapi.cpp
@@ -38,33 +38,39 @@
     return std::nullopt;
 }
 
-adapters::Task<> sendPublication(adapters::HttpExchange &exchange, Publication publication)
+int statusOf(PublicationOutcome outcome)
 {
-    json::object body;
-    int status = 503;
-    switch (publication.m_outcome) {
+    switch (outcome) {
     case PublicationOutcome::Accepted:
-        status = 200;
-        body = {{"outcome", "accepted"}, {"version", publication.m_version}};
+        return 200;
+    case PublicationOutcome::Conflict:
+        return 409;
+    case PublicationOutcome::Invalid:
+        return 422;
+    case PublicationOutcome::Unknown:
+    case PublicationOutcome::Unavailable:
         break;
+    }
+    return 503;
+}
+
+json::object bodyOf(const Publication &publication)
+{
+    switch (publication.m_outcome) {
+    case PublicationOutcome::Accepted:
+        return {{"outcome", "accepted"}, {"version", publication.m_version}};
     case PublicationOutcome::Conflict:
-        status = 409;
-        body = {{"outcome", "conflict"},
+        return {{"outcome", "conflict"},
                 {"version", publication.m_version},
                 {"difference", publication.m_difference}};
-        break;
     case PublicationOutcome::Invalid:
-        status = 422;
-        body = {{"outcome", "invalid"}, {"findings", findingsJson(publication.m_findings)}};
-        break;
+        return {{"outcome", "invalid"}, {"findings", findingsJson(publication.m_findings)}};
     case PublicationOutcome::Unknown:
-        body = {{"outcome", "unknown"}, {"reason", publication.m_reason}};
-        break;
+        return {{"outcome", "unknown"}, {"reason", publication.m_reason}};
     case PublicationOutcome::Unavailable:
-        body = {{"outcome", "unavailable"}, {"reason", publication.m_reason}};
         break;
     }
-    co_await sendJson(exchange, status, json::serialize(body));
+    return {{"outcome", "unavailable"}, {"reason", publication.m_reason}};
 }
 
 adapters::Task<> publish(NodeParts &parts, adapters::HttpExchange &exchange)
@@ -80,8 +86,10 @@
         co_await sendJson(exchange, 413, R"({"reason":"the body is too large or incomplete"})");
         co_return;
     }
-    Publication publication = co_await parts.m_configurationStore.publish(text, *expected);
-    co_await sendPublication(exchange, publication);
+    const Publication publication
+            = co_await parts.m_configurationStore.publish(text, *expected);
+    const std::string body = json::serialize(bodyOf(publication));
+    co_await sendJson(exchange, statusOf(publication.m_outcome), body);
 }
 
 constexpr std::string_view RequestPath = "/operators/requests/";
