--- a/packages/messages/codec/framecodec.cpp
+++ b/packages/messages/codec/framecodec.cpp
@@ -1,8 +1,11 @@
 #include "messages/codec/framecodec.h"
 
+#include "messages/codec/membershipcodec.h"
+
 #include <envelope.pb.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace chervilmount::messages {
 
@@ -37,6 +40,7 @@
     out.set_slots(load.m_slots);
     out.set_leaving(load.m_leaving);
     out.set_threshold(load.m_threshold);
+    out.set_load(load.m_load);
 }
 
 void write(const CallStart &frame, wire::Envelope &envelope)
@@ -59,6 +63,7 @@
     out.set_path_depth(static_cast<std::uint32_t>(frame.m_pathDepth));
     out.set_rank(frame.m_rank);
     out.set_once_only(frame.m_onceOnly);
+    out.set_repeat(frame.m_repeat);
 }
 
 void write(const CallBody &frame, wire::Envelope &envelope)
@@ -130,16 +135,9 @@
     write(frame.m_load, *out.mutable_load());
 }
 
-void write(const Heartbeat &frame, wire::Envelope &envelope)
+void write(const MembershipMessage &frame, wire::Envelope &envelope)
 {
-    wire::MemberRecord &out = *envelope.mutable_heartbeat()->mutable_sender();
-    out.set_failure_domain(frame.m_sender.m_failureDomain);
-    out.set_address(frame.m_sender.m_address);
-    out.set_incarnation(frame.m_sender.m_incarnation);
-    out.set_service(frame.m_sender.m_service);
-    out.set_slots(frame.m_sender.m_slots);
-    out.set_state(frame.m_sender.m_state);
-    out.set_version(frame.m_sender.m_version);
+    writeMembership(frame, *envelope.mutable_membership());
 }
 
 bool read(const wire::CallKey &in, CallKey &key)
@@ -164,8 +162,9 @@
 
 bool read(const wire::LoadReport &in, LoadReport &load)
 {
-    if (in.threshold() > UINT16_MAX)
+    if (in.threshold() > UINT16_MAX || !std::isfinite(in.load()) || in.load() < 0.0)
         return false;
+    load.m_load = in.load();
     load.m_inFlight = in.in_flight();
     load.m_slots = in.slots();
     load.m_leaving = in.leaving();
@@ -200,6 +199,7 @@
     frame.m_pathDepth = static_cast<int>(in.path_depth());
     frame.m_rank = static_cast<std::uint16_t>(in.rank());
     frame.m_onceOnly = in.once_only();
+    frame.m_repeat = in.repeat();
     return frame;
 }
 
@@ -243,11 +243,11 @@
     return frame;
 }
 
-std::optional<Frame> readHeartbeat(const wire::Heartbeat &in)
+std::optional<Frame> readMembershipFrame(const wire::MembershipMessage &in)
 {
-    const wire::MemberRecord &sender = in.sender();
-    return Heartbeat{{sender.failure_domain(), sender.address(), sender.incarnation(),
-                      sender.service(), sender.slots(), sender.state(), sender.version()}};
+    if (std::optional<MembershipMessage> message = readMembership(in))
+        return *message;
+    return std::nullopt;
 }
 
 template<typename FrameType, typename Message>
@@ -322,8 +322,8 @@
         return readRefusal(envelope.refusal());
     case wire::Envelope::kBodyWindow:
         return readWindow<BodyWindow>(envelope.body_window());
-    case wire::Envelope::kHeartbeat:
-        return readHeartbeat(envelope.heartbeat());
+    case wire::Envelope::kMembership:
+        return readMembershipFrame(envelope.membership());
     case wire::Envelope::CONTENT_NOT_SET:
         break;
     }
--- a/packages/messages/frames/frames.h
+++ b/packages/messages/frames/frames.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "membership/message/payload.h"
 #include "model/request/requestcontext.h"
 
 #include <chrono>
@@ -54,6 +55,8 @@
     int m_pathDepth = 0;
     std::uint16_t m_rank = 0;
     bool m_onceOnly = false;
+    /** The call repeats an attempt that may have made nested calls. */
+    bool m_repeat = false;
 };
 
 /** A part of the request body. */
@@ -78,6 +81,8 @@
     bool m_leaving = false;
     /** Highest rank number that the subtree admits. */
     std::uint16_t m_threshold = UINT16_MAX;
+    /** Calls running and waiting, scaled by the announced slots over the limit. */
+    double m_load = 0.0;
 };
 
 /** Status and header fields of a response. */
@@ -140,26 +145,15 @@
     LoadReport m_load;
 };
 
-/** A node's record in the member table. */
-struct MemberRecord
+/** A message of the membership protocol. */
+struct MembershipMessage
 {
-    std::string m_failureDomain;
-    std::string m_address;
-    std::uint64_t m_incarnation = 0;
-    std::string m_service;
-    std::uint32_t m_slots = 0;
-    std::uint32_t m_state = 0;
-    std::uint64_t m_version = 0;
-};
-
-/** Tells a neighbour that the sender is alive. */
-struct Heartbeat
-{
-    MemberRecord m_sender;
+    membership::NodeId m_from;
+    membership::Payload m_payload;
 };
 
 /** One message between nodes. */
 using Frame = std::variant<CallStart, CallBody, CallCancel, AnswerHead, AnswerChunk, AnswerEnd,
-                           AnswerWindow, BodyWindow, Refusal, Heartbeat>;
+                           AnswerWindow, BodyWindow, Refusal, MembershipMessage>;
 
 } // namespace chervilmount::messages
