Judge cuts of the limit over the whole series and grow once per window

Change: two slow windows in a row start a series of cuts, each judged after two median latencies against the state before the series (the latency must fall by half of what the limit fell); otherwise the old limit returns. Growth above the slow start is 25 % per window and only below 1.6 times the baseline.

--- a/packages/overload/limit/concurrencylimit.cpp
+++ b/packages/overload/limit/concurrencylimit.cpp
@@ -9,14 +9,21 @@
 
 /** A window with fewer ended calls goes on, since its median would be chance. */
 constexpr std::size_t SmallestSample = 16;
+/** One round of calls is enough, and so is this many. */
+constexpr std::size_t LargestSample = 64;
 /** A slow server ends few calls; the window then closes after this multiple of its length. */
 constexpr int LongestWindowFactor = 10;
 /** The limit counts as used from this share on; an unused limit does not grow. */
 constexpr double UsedShare = 0.8;
-/** Growth per round of calls above the end of the slow start. */
-constexpr double GrowthPerRound = 0.1;
-/** A cut that lowers the latency by less than a tenth shows that concurrency is not the cause. */
-constexpr double UselessCutRatio = 0.9;
+/** Growth per window above the end of the slow start. Growth per round of calls had passed the best
+ * limit before the first window was judged. */
+constexpr double GrowthPerWindow = 0.25;
+/** Above this multiple of the baseline the limit does not grow; the median of an unloaded server
+ * is about 1.4 times its low percentile. */
+constexpr double GrowthFactor = 1.6;
+/** A cut has its effect on the calls that start after it has been reached; the calls at the server
+ * have to end first. In median latencies. */
+constexpr double CutSettles = 2.0;
 /** The baseline is this percentile of a window. */
 constexpr double BaselinePercentile = 0.1;
 
@@ -28,12 +35,24 @@
     return values[index];
 }
 
+bool isUsed(const ConcurrencyLimit &limit)
+{
+    return limit.m_peakInFlight >= UsedShare * limitNow(limit);
+}
+
 void cut(ConcurrencyLimit &limit, const LimitSettings &settings)
 {
     limit.m_limit = std::max(settings.m_minimum,
                              std::min<double>(limit.m_limit, limit.m_slots) * settings.m_cut);
 }
 
+/** Whether the latency fell by less than half of what the limit was lowered by. */
+bool cutsAreUseless(const ConcurrencyLimit &limit, double median)
+{
+    const double lowered = 1.0 - limit.m_limit / limit.m_limitBeforeCut;
+    return median > (1.0 - lowered / 2.0) * limit.m_medianBeforeCut;
+}
+
 void judgeLatency(ConcurrencyLimit &limit, const LimitSettings &settings,
                   std::chrono::steady_clock::time_point now)
 {
@@ -43,21 +62,37 @@
         limit.m_baseline = low;
     if (median <= settings.m_latencyFactor * limit.m_baseline) {
         limit.m_medianBeforeCut = 0.0;
+        limit.m_suspect = false;
+        if (median <= GrowthFactor * limit.m_baseline && limit.m_limit >= limit.m_slowStartEnd
+            && isUsed(limit))
+            limit.m_limit = std::min<double>(
+                    limit.m_limit + std::max(1.0, GrowthPerWindow * limit.m_limit), limit.m_slots);
+        return;
+    }
+    // The first calls to end after a change are the short ones, so their median is too low to
+    // compare with.
+    if (!limit.m_suspect) {
+        limit.m_suspect = true;
         return;
     }
-    if (limit.m_medianBeforeCut > 0.0 && median > UselessCutRatio * limit.m_medianBeforeCut) {
+    if (limit.m_medianBeforeCut > 0.0 && cutsAreUseless(limit, median)) {
         // Fewer calls did not make the server faster: it is slow for another reason, and a lower
         // limit would only lose goodput. The present latency becomes the baseline.
         limit.m_baseline = low;
+        limit.m_limit = limit.m_limitBeforeCut;
+        limit.m_slowStartEnd = limit.m_limit;
         limit.m_medianBeforeCut = 0.0;
-        limit.m_slowStartEnd = limit.m_slots;
+        limit.m_suspect = false;
         return;
     }
-    limit.m_medianBeforeCut = median;
+    if (limit.m_medianBeforeCut == 0.0) {
+        limit.m_medianBeforeCut = median;
+        limit.m_limitBeforeCut = std::min<double>(limit.m_limit, limit.m_slots);
+    }
     cut(limit, settings);
     limit.m_slowStartEnd = limit.m_limit;
     limit.m_cutTakesEffectAt =
-            now + std::chrono::nanoseconds{static_cast<std::int64_t>(median * 1e9)};
+            now + std::chrono::nanoseconds{static_cast<std::int64_t>(CutSettles * median * 1e9)};
 }
 
 void closeWindow(ConcurrencyLimit &limit, const LimitSettings &settings,
@@ -71,7 +106,7 @@
     limit.m_latencies.clear();
     limit.m_failed = 0;
     limit.m_peakInFlight = 0;
-    limit.m_windowStart = now;
+    limit.m_windowStart = std::max(now, limit.m_cutTakesEffectAt);
 }
 
 bool windowIsOver(const ConcurrencyLimit &limit, const LimitSettings &settings,
@@ -81,19 +116,17 @@
     if (age < settings.m_window)
         return false;
     const std::size_t ended = limit.m_latencies.size() + limit.m_failed;
-    return ended >= SmallestSample || limit.m_failed >= 5
+    const std::size_t round = std::min<std::size_t>(limitNow(limit), LargestSample);
+    return ended >= std::max(SmallestSample, round) || limit.m_failed >= 5
             || age >= settings.m_window * LongestWindowFactor;
 }
 
-void grow(ConcurrencyLimit &limit)
+/** Slow start: one more call with each success, until the limit at which the server was slow. */
+void growWithSuccess(ConcurrencyLimit &limit)
 {
-    // While the effect of a cut is measured, the limit stays as it is.
-    if (limit.m_medianBeforeCut > 0.0 || limit.m_peakInFlight < UsedShare * limitNow(limit))
+    if (limit.m_medianBeforeCut > 0.0 || limit.m_limit >= limit.m_slowStartEnd || !isUsed(limit))
         return;
-    const double step = limit.m_limit < limit.m_slowStartEnd
-            ? 1.0
-            : std::max(1.0, GrowthPerRound * limit.m_limit) / limit.m_limit;
-    limit.m_limit = std::min<double>(limit.m_limit + step, limit.m_slots);
+    limit.m_limit = std::min<double>(limit.m_limit + 1.0, limit.m_slots);
 }
 
 } // namespace
@@ -134,7 +167,7 @@
         return;
     if (result == CallResult::Success) {
         limit.m_latencies.push_back(std::chrono::duration<float>(latency).count());
-        grow(limit);
+        growWithSuccess(limit);
     } else if (result != CallResult::NotCounted) {
         ++limit.m_failed;
     }
--- a/packages/overload/limit/concurrencylimit.h
+++ b/packages/overload/limit/concurrencylimit.h
@@ -47,9 +47,11 @@
     double m_slowStartEnd = 1e9;
     /** Low percentile of the latency without load, in seconds; 0 until known. */
     double m_baseline = 0.0;
-    /** Median latency in the window before the last cut, in seconds; 0 if the last window had no
-     * cut. */
+    /** The last window was too slow; the limit is cut if the next one is too. */
+    bool m_suspect = false;
+    /** Median latency, in seconds, and limit before a series of cuts; 0 outside a series. */
     double m_medianBeforeCut = 0.0;
+    double m_limitBeforeCut = 0.0;
     /** Calls that end earlier started before the last cut and do not show its effect. */
     std::chrono::steady_clock::time_point m_cutTakesEffectAt;
     /** Latencies of the window's successful calls, in seconds. */
