Remove undefined behaviour from two tests of the retries

Found by the sanitizers: the allowance of a broken variant overflowed, and a check dereferenced an empty allowance. The broken variants are now capped, and the check requires the value.

--- a/tests/overload/attemptbound_test.cpp
+++ b/tests/overload/attemptbound_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
 
 using namespace chervilmount::overload;
@@ -12,6 +13,8 @@
 constexpr int Cases = 20000;
 constexpr int LargestTree = 15;
 constexpr int MaximumExtraAttempts = 5;
+/** Far beyond the bound of 20; stops the broken variants, whose allowance grows without end. */
+constexpr int AttemptsToStopAt = 200;
 
 /** Rules of the mechanism that a test can break, to show that the check notices it. */
 enum class Broken {
@@ -97,9 +100,10 @@
 {
     RetryBudget budget{1e6, {}};
     std::optional<AttemptAllowance> part = allowFirstAttempt(own, nestedCallsOf(run, call));
-    while (part) {
+    while (part && run.m_attempts < AttemptsToStopAt) {
         if (run.m_broken == Broken::HandsOverWithoutSubtracting)
-            own.m_extraAttempts += part->m_extraAttempts;
+            own.m_extraAttempts =
+                    std::min(own.m_extraAttempts + part->m_extraAttempts, AttemptsToStopAt);
         const Ended ended = execute(run, call, *part);
         if (ended.m_result != Result::ResponseLost) {
             if (run.m_broken == Broken::TakesBackMoreThanHandedOver)
--- a/tests/overload/retry_test.cpp
+++ b/tests/overload/retry_test.cpp
@@ -81,7 +81,12 @@
     const AttemptAllowance retry = *allowRetry(own, part, NestedCalls::Possible, false);
     CHECK(retry.m_repeat);
     CHECK(own.m_extraAttempts + retry.m_extraAttempts == 4);
-    CHECK(allowRetry(own, retry, NestedCalls::Possible, true)->m_repeat);
+    // A retry of a repeat stays a repeat, also after a proven not run.
+    AttemptAllowance other{2, false};
+    const std::optional<AttemptAllowance> again =
+            allowRetry(other, retry, NestedCalls::Possible, true);
+    REQUIRE(again.has_value());
+    CHECK(again->m_repeat);
     AttemptAllowance empty{0, true};
     CHECK_FALSE(allowFirstAttempt(empty, NestedCalls::None).has_value());
 }
