--- a/packages/sharedstate/lease/leaseevent.h
+++ b/packages/sharedstate/lease/leaseevent.h
@@ -11,7 +11,7 @@
 
 namespace chervilmount::sharedstate {
 
-/** Time passes; to be sent at least every 200 ms. */
+/** Time passes; to be sent at least every 250 ms. */
 struct LeaseTick
 {
 };
--- a/packages/sharedstate/lease/leasestate.h
+++ b/packages/sharedstate/lease/leasestate.h
@@ -28,6 +28,8 @@
     std::chrono::milliseconds m_successorReadInterval{1000};
     /** How often another candidate reads the row. */
     std::chrono::milliseconds m_candidateReadInterval{5000};
+    /** Each further named successor takes a free row this much later. */
+    std::chrono::milliseconds m_successorStep{1000};
     /** Pause before a write without a known result is sent again. */
     std::chrono::milliseconds m_writeRetryInterval{1000};
     std::chrono::milliseconds m_storeTimeout{1000};
@@ -70,6 +72,11 @@
     NodeReference m_self;
     /** Set by the node from its member table: whether it may take the lease. */
     bool m_candidate = false;
+    /**
+     * Set by the node: a free or absent row is taken only after it was seen for this long.
+     * Different delays of the candidates spread the leases of a domain evenly over its nodes.
+     */
+    std::chrono::milliseconds m_candidateDelay{0};
     /** Set by the node from its member table: up to 2 other serving nodes, best first. */
     std::vector<NodeReference> m_preferredSuccessors;
     bool m_leaving = false;
@@ -82,7 +89,7 @@
     std::uint64_t m_revision = 0;
     /** Whether the store has responded to a read or write at all. */
     bool m_observed = false;
-    /** When the present row was first received. */
+    /** When the present row, or its absence, was first received. */
     std::chrono::steady_clock::time_point m_firstSeen;
     std::chrono::steady_clock::time_point m_lastStoreContact;
     std::chrono::steady_clock::time_point m_nextRead;
--- a/packages/sharedstate/lease/leasestep.cpp
+++ b/packages/sharedstate/lease/leasestep.cpp
@@ -198,6 +198,8 @@
     LeaseState &state = step.m_state;
     if (event.m_outcome == StoreOutcome::Done) {
         state.m_lastStoreContact = step.m_now;
+        if (!state.m_observed)
+            state.m_firstSeen = step.m_now;
         state.m_observed = true;
     }
     if (event.m_id != state.m_readRequest) {
@@ -306,19 +308,29 @@
     requestPromises(step);
 }
 
+/** @returns how long this node leaves a free row to others. */
+Duration freeRowDelay(const LeaseState &state, const LeaseRow &row)
+{
+    const std::vector<NodeReference>::const_iterator found =
+            std::find(row.m_successors.begin(), row.m_successors.end(), state.m_self);
+    if (found == row.m_successors.end())
+        return state.m_candidateDelay;
+    return (found - row.m_successors.begin()) * state.m_settings.m_successorStep;
+}
+
 bool mayTakeOver(const LeaseState &state, TimePoint now, const LeaseFaults &faults)
 {
     if (!state.m_observed || state.m_leaving)
         return false;
+    const Duration unchanged = now - state.m_firstSeen;
     if (!state.m_row)
-        return state.m_candidate;
+        return state.m_candidate && unchanged >= state.m_candidateDelay;
     const LeaseRow &row = *state.m_row;
     const bool named = contains(row.m_successors, state.m_self);
     if (!row.m_holder)
-        return named || state.m_candidate;
+        return unchanged >= freeRowDelay(state, row) && (named || state.m_candidate);
     if (now < state.m_promisedUntil && !faults.m_ignorePromise)
         return false;
-    const Duration unchanged = now - state.m_firstSeen;
     if (named || (row.m_successors.empty() && state.m_candidate))
         return unchanged >= lengthened(state, state.m_settings.m_leaseTime);
     return state.m_candidate
--- a/tests/sharedstate/ratefleet.h
+++ b/tests/sharedstate/ratefleet.h
@@ -52,6 +52,8 @@
     Nanoseconds m_pausePeriod{0};
     /** Probability that an admitted request is refused as not run later and credited. */
     double m_credit = 0.1;
+    /** How often nodes look at their grants and buckets. */
+    Nanoseconds m_tick = std::chrono::milliseconds(50);
     sharedstate::LeaseSettings m_lease;
     sharedstate::RateFaults m_rateFaults;
     sharedstate::LeaseFaults m_leaseFaults;
@@ -73,6 +75,8 @@
     void setDemand(double demand) { m_plan.m_demand = demand; }
     /** Restricts callers to one failure domain; -1 for all. */
     void setOnlyDomain(int domain) { m_onlyDomain = domain; }
+    /** Stops the process of a group's holder for longer than its lease. */
+    void pauseHolder(std::size_t group);
     /** Stops the holder of a group gracefully and starts it again some time later. */
     void replaceHolder(std::size_t group);
 
