--- a/packages/membership/ring/bridgeset.h
+++ b/packages/membership/ring/bridgeset.h
@@ -13,6 +13,12 @@
 /** Bridges of each failure domain: its present members with the lowest hash. */
 constexpr std::size_t BridgesPerDomain = 3;
 
+/**
+ * Failure domains up to which every two bridges are linked. With 10 domains and all links, a bridge
+ * would send 6.4 KB/s here and 8.5 KB/s of freshness words, above the bound of 10 KB/s.
+ */
+constexpr std::size_t MostFullyLinkedDomains = 5;
+
 /** Keeps the bridges of every failure domain up to date. */
 class BridgeSet
 {
@@ -37,6 +43,9 @@
     std::vector<NodeKey> remoteLinks(const std::string &failureDomain, NodeKey key,
                                      std::size_t linksPerDomain) const;
 
+    /** Returns the number of failure domains with bridges. */
+    std::size_t domainCount() const { return m_domains.size(); }
+
     /** Returns true if the node is a bridge of its failure domain. */
     bool isBridge(const std::string &failureDomain, NodeKey key) const;
 
--- a/packages/membership/step/membershipsettings.h
+++ b/packages/membership/step/membershipsettings.h
@@ -41,8 +41,11 @@
     std::chrono::milliseconds m_retryFailedInterval{5000};
     /** Interval of the check for seeds and peers that are not in the table. */
     std::chrono::milliseconds m_seedCheckInterval{30000};
-    /** Links of one bridge to the bridges of each other failure domain, 1 to BridgesPerDomain. */
-    std::size_t m_bridgeLinks = BridgesPerDomain;
+    /**
+     * Links of one bridge to the bridges of each other failure domain, 1 to BridgesPerDomain; 0 for
+     * all up to MostFullyLinkedDomains domains and 1 beyond.
+     */
+    std::size_t m_bridgeLinks = 0;
     DisabledRule m_disabledRule = DisabledRule::None;
 };
 
--- a/packages/membership/step/recordflow.cpp
+++ b/packages/membership/step/recordflow.cpp
@@ -81,6 +81,13 @@
             || state.m_table.findVersion(key)->first < record.m_incarnation;
 }
 
+std::size_t bridgeLinks(const MembershipState &state)
+{
+    if (state.m_settings.m_bridgeLinks != 0)
+        return state.m_settings.m_bridgeLinks;
+    return state.m_bridges.domainCount() <= MostFullyLinkedDomains ? BridgesPerDomain : 1;
+}
+
 void addPeer(StepContext &context, NodeKey key, bool PeerRole::*role,
              std::map<NodeKey, PeerRole> &peers)
 {
@@ -148,7 +155,7 @@
     for (const NodeKey key : state.m_rings.neighboursOf(state.m_selfKey))
         addPeer(context, key, &PeerRole::m_neighbour, peers);
     const std::vector<NodeKey> remote =
-            state.m_bridges.remoteLinks(domain, state.m_selfKey, state.m_settings.m_bridgeLinks);
+            state.m_bridges.remoteLinks(domain, state.m_selfKey, bridgeLinks(state));
     for (const NodeKey key : remote)
         addPeer(context, key, &PeerRole::m_remoteBridge, peers);
     if (state.m_bridges.isBridge(domain, state.m_selfKey)) {
--- a/tests/membership/schedule.cpp
+++ b/tests/membership/schedule.cpp
@@ -73,6 +73,7 @@
 void Schedule::addNodes(DisabledRule disabledRule)
 {
     const std::size_t domains = 1 + below(4);
+    const std::size_t bridgeLinks = below(2);
     for (std::size_t domain = 0; domain < domains; ++domain) {
         m_domains.push_back("d" + std::to_string(domain));
         std::size_t count = 1 + below(domains == 1 ? 6 : 4);
@@ -82,6 +83,7 @@
         for (std::size_t node = 0; node < count; ++node) {
             MembershipSettings settings;
             settings.m_disabledRule = disabledRule;
+            settings.m_bridgeLinks = bridgeLinks;
             // Without the store, the first nodes are named in the settings.
             if (!m_network.m_storeUp)
                 settings.m_peers = {{"", "0.0:1"}, {"", domains > 1 ? "1.0:1" : "0.1:1"}};
--- a/tests/membershipsimulation/simulation.cpp
+++ b/tests/membershipsimulation/simulation.cpp
@@ -153,6 +153,8 @@
     sender.m_peakBytes = std::max(sender.m_peakBytes, sender.m_secondBytes);
 
     const auto receiver = m_addresses.find(send.m_to.m_address);
+    if (send.m_to.m_failureDomain != sender.m_id.m_failureDomain)
+        sender.m_betweenDomains += size + TransportOverhead;
     if (receiver == m_addresses.end() || !canReach(from, receiver->second))
         return;
     if (m_loss > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < m_loss)
--- a/tests/membershipsimulation/simulation.h
+++ b/tests/membershipsimulation/simulation.h
@@ -50,6 +50,8 @@
     std::uint64_t m_peakBytes = 0;
     std::uint64_t m_secondBytes = 0;
     std::int64_t m_second = 0;
+    /** Bytes sent to nodes of other failure domains. */
+    std::uint64_t m_betweenDomains = 0;
 };
 
 /**
