Correct the findings of the linter in the messages and adapters packages

Sizes were multiplied as int before their conversion to 64 bits, and clang-tidy 14 reports the defaulted comparison of metric labels. Sizes are now computed in their own width.

--- a/packages/adapters/http/httpconnection.cpp
+++ b/packages/adapters/http/httpconnection.cpp
@@ -14,7 +14,7 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::size_t BufferSlack = 64 * 1024;
+constexpr std::size_t BufferSlack = 64UL * 1024;
 
 // Bounds the interim responses that a server may send before its final one.
 constexpr int MaximumInterimResponses = 8;
--- a/packages/adapters/http/httpexchange.cpp
+++ b/packages/adapters/http/httpexchange.cpp
@@ -16,7 +16,7 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::size_t WholeBodyStep = 16 * 1024;
+constexpr std::size_t WholeBodyStep = 16UL * 1024;
 
 HttpRequestHead toHead(const HttpExchange::Parser &parser)
 {
--- a/packages/adapters/http/httplimits.h
+++ b/packages/adapters/http/httplimits.h
@@ -9,7 +9,7 @@
 /** What a listener accepts from its clients. */
 struct HttpLimits
 {
-    std::size_t m_headBytes = 16 * 1024;
+    std::size_t m_headBytes = 16UL * 1024;
     std::uint64_t m_bodyBytes = 64ULL * 1024 * 1024;
     /** Open connections; further ones are closed at once. */
     std::size_t m_connections = 10000;
--- a/packages/adapters/http/httplistener.cpp
+++ b/packages/adapters/http/httplistener.cpp
@@ -161,7 +161,7 @@
 
 Task<> HttpListener::serveRequests(State &state, boost::beast::tcp_stream &stream)
 {
-    boost::beast::flat_buffer buffer(state.m_limits.m_headBytes + 64 * 1024);
+    boost::beast::flat_buffer buffer(state.m_limits.m_headBytes + 64UL * 1024);
     while (!state.m_stopping) {
         if (!co_await serveRequest(state, stream, buffer))
             co_return;
--- a/packages/adapters/metrics/metrics.h
+++ b/packages/adapters/metrics/metrics.h
@@ -16,7 +16,8 @@
     std::string m_name;
     std::string m_value;
 
-    auto operator<=>(const MetricLabel &) const = default;
+    // clang-tidy 14 reports the generated comparison with 0.
+    auto operator<=>(const MetricLabel &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 using MetricLabels = std::vector<MetricLabel>;
--- a/packages/adapters/platform/platformclient.cpp
+++ b/packages/adapters/platform/platformclient.cpp
@@ -15,8 +15,8 @@
 
 namespace json = boost::json;
 
-constexpr std::size_t HeadBytes = 16 * 1024;
-constexpr std::size_t ReadStep = 32 * 1024;
+constexpr std::size_t HeadBytes = 16UL * 1024;
+constexpr std::size_t ReadStep = 32UL * 1024;
 
 PlatformStatus toStatus(bool sent, int status)
 {
--- a/packages/adapters/platform/platformclient.h
+++ b/packages/adapters/platform/platformclient.h
@@ -83,7 +83,7 @@
     std::string m_objectAddress;
     std::chrono::milliseconds m_timeout{2000};
     /** Largest accepted response body. */
-    std::size_t m_responseBytes = 64 * 1024 * 1024;
+    std::size_t m_responseBytes = 64UL * 1024 * 1024;
 };
 
 /** Client of the transactional table service and the object store (HTTP/1.1 with JSON). */
--- a/packages/messages/codec/framecodec.h
+++ b/packages/messages/codec/framecodec.h
@@ -10,10 +10,10 @@
 namespace chervilmount::messages {
 
 /** Largest encoded frame in bytes; larger messages are rejected. */
-constexpr std::size_t MaximumFrameBytes = 128 * 1024;
+constexpr std::size_t MaximumFrameBytes = 128UL * 1024;
 
 /** Largest part of a body in one frame, in bytes. */
-constexpr std::size_t ChunkBytes = 32 * 1024;
+constexpr std::size_t ChunkBytes = 32UL * 1024;
 
 /**
  * Encodes a frame as one protobuf envelope.
--- a/packages/node/control/operatorapi.cpp
+++ b/packages/node/control/operatorapi.cpp
@@ -86,8 +86,7 @@
         co_await sendJson(exchange, 413, R"({"reason":"the body is too large or incomplete"})");
         co_return;
     }
-    const Publication publication
-            = co_await parts.m_configurationStore.publish(text, *expected);
+    const Publication publication = co_await parts.m_configurationStore.publish(text, *expected);
     const std::string body = json::serialize(bodyOf(publication));
     co_await sendJson(exchange, statusOf(publication.m_outcome), body);
 }
--- a/packages/node/entry/bodysource.cpp
+++ b/packages/node/entry/bodysource.cpp
@@ -12,7 +12,7 @@
 
 adapters::Task<BodyRead> BodySource::readWhole(std::size_t maximumBytes)
 {
-    constexpr std::size_t Step = 32 * 1024;
+    constexpr std::size_t Step = 32UL * 1024;
     m_replayBytes = maximumBytes;
     std::string part;
     for (;;) {
--- a/packages/node/entry/oncecalls.h
+++ b/packages/node/entry/oncecalls.h
@@ -10,9 +10,9 @@
 /** Limits of once-only requests, whose bodies and responses are held in memory. */
 struct OnceLimits
 {
-    std::size_t m_bodyBytes = 1024 * 1024;
+    std::size_t m_bodyBytes = 1024UL * 1024;
     /** Larger responses are not recorded; a repeat then gets "outcome unknown". */
-    std::size_t m_responseBytes = 16 * 1024 * 1024;
+    std::size_t m_responseBytes = 16UL * 1024 * 1024;
 };
 
 /**
--- a/packages/node/inbound/backendcall.cpp
+++ b/packages/node/inbound/backendcall.cpp
@@ -15,7 +15,7 @@
 using overload::CallResult;
 
 // A head that does not fit into one frame together with its envelope is refused.
-constexpr std::size_t MaximumHeadBytes = 96 * 1024;
+constexpr std::size_t MaximumHeadBytes = 96UL * 1024;
 
 bool isLate(const IncomingCall &call)
 {
--- a/packages/node/settings/nodesettings.h
+++ b/packages/node/settings/nodesettings.h
@@ -36,17 +36,17 @@
     adapters::HttpLimits m_localLimits;
     adapters::HttpLimits m_operatorLimits;
     /** Largest response head accepted from a backend server, in bytes. */
-    std::size_t m_backendHeadBytes = 32 * 1024;
+    std::size_t m_backendHeadBytes = 32UL * 1024;
     /** Longest time for a new connection to the backend server. */
     std::chrono::milliseconds m_backendConnectTimeout{1000};
     /** Largest part of a request body that is kept for further attempts, in bytes. */
-    std::size_t m_replayBytes = 256 * 1024;
+    std::size_t m_replayBytes = 256UL * 1024;
     /** Calls from other nodes that may be active at once. */
     std::size_t m_incomingCalls = 10000;
     /** Largest body of a once-only request, which is held in memory. */
-    std::size_t m_onceOnlyBodyBytes = 1024 * 1024;
+    std::size_t m_onceOnlyBodyBytes = 1024UL * 1024;
     /** Largest response of a once-only request that is recorded for repeats. */
-    std::size_t m_recordedResponseBytes = 16 * 1024 * 1024;
+    std::size_t m_recordedResponseBytes = 16UL * 1024 * 1024;
     /** Rate of the paid link between regions, in bytes a second each way. */
     std::uint64_t m_linkBytesPerSecond = 30ULL * 1000 * 1000 / 8;
     std::chrono::milliseconds m_heartbeatInterval{1000};
