Grant rates through lease holders in place of fixed shares per node

Cause: each node split its domain's share by the number of members that it knew. Views of the members differ after a cut and during restarts, and each node had a cap of at least one token, so the sum over the fleet could exceed rate and burst. A request for a service without any candidate is refused before it is charged, and a refusal states when no holder of the rate groups responded.

--- a/packages/messages/codec/framecodec.cpp
+++ b/packages/messages/codec/framecodec.cpp
@@ -1,6 +1,7 @@
 #include "messages/codec/framecodec.h"
 
 #include "messages/codec/membershipcodec.h"
+#include "messages/codec/sharedstatecodec.h"
 
 #include <envelope.pb.h>
 
@@ -140,6 +141,11 @@
     writeMembership(frame, *envelope.mutable_membership());
 }
 
+void write(const SharedStateMessage &frame, wire::Envelope &envelope)
+{
+    writeSharedState(frame, *envelope.mutable_shared_state());
+}
+
 bool read(const wire::CallKey &in, CallKey &key)
 {
     if (in.request_id().size() != key.m_requestId.size())
@@ -250,6 +256,13 @@
     return std::nullopt;
 }
 
+std::optional<Frame> readSharedStateFrame(const wire::SharedStateMessage &in)
+{
+    if (std::optional<SharedStateMessage> message = readSharedState(in))
+        return *message;
+    return std::nullopt;
+}
+
 template<typename FrameType, typename Message>
 std::optional<Frame> readWindow(const Message &in)
 {
@@ -324,6 +337,8 @@
         return readWindow<BodyWindow>(envelope.body_window());
     case wire::Envelope::kMembership:
         return readMembershipFrame(envelope.membership());
+    case wire::Envelope::kSharedState:
+        return readSharedStateFrame(envelope.shared_state());
     case wire::Envelope::CONTENT_NOT_SET:
         break;
     }
--- a/packages/messages/frames/frames.h
+++ b/packages/messages/frames/frames.h
@@ -2,6 +2,7 @@
 
 #include "membership/message/payload.h"
 #include "model/request/requestcontext.h"
+#include "sharedstate/sharedstate.h"
 
 #include <chrono>
 #include <compare>
@@ -153,8 +154,26 @@
     membership::Payload m_payload;
 };
 
+/** Tells a node that asked the wrong one which node holds the lease of a rate group. */
+struct GroupHolder
+{
+    std::string m_group;
+    std::string m_address;
+};
+
+/** A message about leases or rate grants. */
+using SharedStatePayload = std::variant<sharedstate::LeasePromiseRequest, sharedstate::LeasePromise,
+                                        sharedstate::GrantRequest, sharedstate::Grant, GroupHolder>;
+
+/** A message of the shared state between nodes. */
+struct SharedStateMessage
+{
+    SharedStatePayload m_payload;
+};
+
 /** One message between nodes. */
-using Frame = std::variant<CallStart, CallBody, CallCancel, AnswerHead, AnswerChunk, AnswerEnd,
-                           AnswerWindow, BodyWindow, Refusal, MembershipMessage>;
+using Frame =
+        std::variant<CallStart, CallBody, CallCancel, AnswerHead, AnswerChunk, AnswerEnd,
+                     AnswerWindow, BodyWindow, Refusal, MembershipMessage, SharedStateMessage>;
 
 } // namespace chervilmount::messages
--- a/packages/node/entry/callerhandler.cpp
+++ b/packages/node/entry/callerhandler.cpp
@@ -21,16 +21,37 @@
     const CallPlan *plan = std::get_if<CallPlan>(&decision);
     if (plan == nullptr)
         return decision;
+    // Refused before it is charged, since the charge would be lost.
+    if (!parts.m_router.hasCandidates(plan->m_service, now)) {
+        return RefusalReply{503, true, "no-candidate",
+                            overload::callerRetryDelay(plan->m_callerRepeats, parts.m_random)};
+    }
     const overload::ThresholdDecision shed = parts.m_router.decideSend(
             plan->m_service, plan->m_route, plan->m_context.m_rank, now, parts.m_random);
     if (!shed.m_sendOn) {
-        creditCaller(parts.m_entry, *plan);
         return RefusalReply{503, true, std::string(overload::toText(shed.m_reason)),
                             overload::callerRetryDelay(plan->m_callerRepeats, parts.m_random)};
     }
     return decision;
 }
 
+/** Charges an admitted request to its organisation; refuses it if the organisation is over its
+ * rate. */
+adapters::Task<> chargeRequest(NodeParts &parts, EntryDecision &decision)
+{
+    CallPlan *plan = std::get_if<CallPlan>(&decision);
+    if (plan == nullptr || plan->m_context.m_organisation.empty())
+        co_return;
+    std::string organisation = plan->m_context.m_organisation;
+    plan->m_charge = co_await parts.m_rates.charge(std::move(organisation));
+    if (plan->m_charge)
+        co_return;
+    const bool silent = parts.m_rates.holdersAreSilent(plan->m_context.m_organisation);
+    RefusalReply refusal{silent ? 503 : 429, true, silent ? "rate-holder-unreachable" : "rate",
+                         overload::callerRetryDelay(plan->m_callerRepeats, parts.m_random)};
+    decision = std::move(refusal);
+}
+
 adapters::Task<CallOutcome> runPlan(NodeParts &parts, adapters::HttpExchange &exchange,
                                     CallPlan plan)
 {
@@ -83,13 +104,14 @@
     const steady_clock::time_point startedAt = steady_clock::now();
     const model::RequestId id = newRequestId(parts.m_random);
     EntryDecision decision = decide(parts, exchange.request(), id, startedAt);
+    co_await chargeRequest(parts, decision);
     CallOutcome outcome;
     if (CallPlan *plan = std::get_if<CallPlan>(&decision)) {
         recordPlan(parts, *plan);
         const int repeats = plan->m_callerRepeats;
         outcome = co_await runPlan(parts, exchange, *plan);
-        if (outcome.m_refusal && outcome.m_refusal->m_notRun)
-            creditCaller(parts.m_entry, *plan);
+        if (plan->m_charge && outcome.m_refusal && outcome.m_refusal->m_notRun)
+            parts.m_rates.credit(*plan->m_charge);
         if (outcome.m_refusal && outcome.m_refusal->m_retryAfter.count() > 0)
             outcome.m_refusal->m_retryAfter = overload::callerRetryDelay(repeats, parts.m_random);
     } else {
--- a/packages/node/entry/callerrequests.cpp
+++ b/packages/node/entry/callerrequests.cpp
@@ -44,11 +44,12 @@
     return 1.0 / static_cast<double>(domains);
 }
 
-NodeShare shareOf(const EntryInput &input, const model::Organisation &organisation)
+/** Requests a second that this node would see if a domain's share were spread evenly. */
+double expectedRate(const EntryInput &input, const model::Organisation &organisation)
 {
-    const double part = shareFraction(*input.m_configuration, organisation, input.m_failureDomain)
+    return organisation.m_rate
+            * shareFraction(*input.m_configuration, organisation, input.m_failureDomain)
             / static_cast<double>(std::max<std::size_t>(1, input.m_nodesInDomain));
-    return {organisation.m_rate * part, std::max(1.0, organisation.m_burst * part)};
 }
 
 std::optional<RefusalReply> checkFreshness(const EntryInput &input,
@@ -83,7 +84,8 @@
     int level = 0;
     if (organisation != nullptr) {
         const double used = overload::recordUse(state.m_usage[organisation->m_name], input.m_now);
-        level = overload::overUseLevel(used, plan.m_share.m_rate, plan.m_callerRepeats);
+        level = overload::overUseLevel(used, expectedRate(input, *organisation),
+                                       plan.m_callerRepeats);
     }
     plan.m_context.m_rank =
             overload::makeRank(plan.m_context.m_priority, level, plan.m_context.m_requestId);
@@ -109,12 +111,6 @@
 
 } // namespace
 
-void creditCaller(EntryState &state, const CallPlan &plan)
-{
-    if (!plan.m_context.m_organisation.empty())
-        returnToken(state.m_buckets[plan.m_context.m_organisation], plan.m_share);
-}
-
 void removeReservedFields(std::vector<adapters::HttpField> &fields)
 {
     std::erase_if(fields, [](const adapters::HttpField &field) {
@@ -156,14 +152,7 @@
     plan.m_callerRepeats = countRepeats(state, input, head, plan.m_context.m_organisation);
     const model::Organisation *organisation =
             configuration.m_index.organisation(plan.m_context.m_organisation);
-    if (organisation != nullptr)
-        plan.m_share = shareOf(input, *organisation);
     setRank(state, input, organisation, plan);
-    if (organisation != nullptr) {
-        ShareBucket &bucket = state.m_buckets[organisation->m_name];
-        if (!takeToken(bucket, plan.m_share, input.m_now))
-            return RefusalReply{429, true, "rate", untilNextToken(bucket, plan.m_share)};
-    }
     removeReservedFields(plan.m_head.m_fields);
     return plan;
 }
--- a/packages/node/entry/callerrequests.h
+++ b/packages/node/entry/callerrequests.h
@@ -23,8 +23,6 @@
     RepeatCounter m_repeats;
     /** Use of each organisation at this node. */
     std::map<std::string, overload::UsageMeter> m_usage;
-    /** Tokens of each organisation at this node. */
-    std::map<std::string, ShareBucket> m_buckets;
 };
 
 /** What the decision on a caller's request depends on. */
@@ -51,9 +49,6 @@
                            const model::KeyDigester &digester,
                            const adapters::HttpRequestHead &head);
 
-/** Credits a request that was charged and did not run. */
-void creditCaller(EntryState &state, const CallPlan &plan);
-
 /** Removes the caller's key and the fields that only nodes may set. */
 void removeReservedFields(std::vector<adapters::HttpField> &fields);
 
--- a/packages/node/entry/callplan.h
+++ b/packages/node/entry/callplan.h
@@ -2,11 +2,12 @@
 
 #include "adapters/http/httpmessage.h"
 #include "model/request/requestcontext.h"
-#include "node/entry/sharebucket.h"
 #include "overload/overload.h"
+#include "sharedstate/sharedstate.h"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace chervilmount::node {
@@ -22,8 +23,8 @@
     overload::NestedCalls m_nestedCalls = overload::NestedCalls::Possible;
     /** Earlier repeats of the request by its caller. */
     int m_callerRepeats = 0;
-    /** Share that the request was charged to; credited if it does not run. */
-    NodeShare m_share;
+    /** Grant that the request was charged to; credited if the request does not run. */
+    std::optional<sharedstate::Charge> m_charge;
     /** Head for the backend server, without the caller's key. */
     adapters::HttpRequestHead m_head;
     std::uint64_t m_maximumBodyBytes = 0;
--- a/packages/node/outbound/servicerouter.cpp
+++ b/packages/node/outbound/servicerouter.cpp
@@ -64,6 +64,12 @@
     return static_cast<std::uint32_t>(place - candidates.begin());
 }
 
+bool ServiceRouter::hasCandidates(const std::string &service,
+                                  std::chrono::steady_clock::time_point now)
+{
+    return !serviceOf(service, now).m_candidates.m_candidates.empty();
+}
+
 overload::ThresholdDecision ServiceRouter::decideSend(const std::string &service,
                                                       const std::string &route, overload::Rank rank,
                                                       std::chrono::steady_clock::time_point now,
--- a/packages/node/outbound/servicerouter.h
+++ b/packages/node/outbound/servicerouter.h
@@ -52,6 +52,9 @@
     void setLink(double bytesPerSecond, int nodesInRegion,
                  std::chrono::steady_clock::time_point now);
 
+    /** @returns whether any node is known that can take a call to the service. */
+    bool hasCandidates(const std::string &service, std::chrono::steady_clock::time_point now);
+
     /** Decides at the threshold of the service whether a request goes on to it. */
     overload::ThresholdDecision decideSend(const std::string &service, const std::string &route,
                                            overload::Rank rank,
--- a/packages/node/runtime/node.cpp
+++ b/packages/node/runtime/node.cpp
@@ -63,6 +63,8 @@
             [this](adapters::HttpExchange &exchange) { return handleOperator(m_parts, exchange); });
     boost::asio::co_spawn(context, pollConfiguration(), boost::asio::detached);
     m_parts.m_membership.start();
+    m_parts.m_leases.start();
+    m_parts.m_rates.start();
     boost::asio::co_spawn(context, watchMembers(), boost::asio::detached);
 }
 
@@ -75,12 +77,20 @@
 {
     if (const auto *message = std::get_if<messages::MembershipMessage>(&frame))
         m_parts.m_membership.receive(*message);
+    else if (const auto *shared = std::get_if<messages::SharedStateMessage>(&frame))
+        receiveSharedState(*shared);
     else if (from.m_inbound)
         m_parts.m_incoming.receive(from, std::move(frame));
     else
         m_parts.m_outgoing.receive(from, std::move(frame));
 }
 
+void Node::receiveSharedState(const messages::SharedStateMessage &message)
+{
+    m_parts.m_leases.receive(message.m_payload);
+    m_parts.m_rates.receive(message.m_payload);
+}
+
 adapters::Task<> Node::pollConfiguration()
 {
     const std::shared_ptr<bool> running = m_running;
@@ -105,6 +115,7 @@
     const std::shared_ptr<bool> running = m_running;
     std::uint64_t seenRevision = 0;
     std::uint64_t seenVersion = 0;
+    std::uint64_t configuredVersion = 0;
     while (*running) {
         const steady_clock::time_point now = steady_clock::now();
         watchBackend(now);
@@ -115,6 +126,11 @@
         if (revision != seenRevision || version != seenVersion) {
             seenRevision = revision;
             seenVersion = version;
+            if (configuration && version != configuredVersion) {
+                configuredVersion = version;
+                m_parts.m_rates.configure(configuration->m_set.configuration());
+            }
+            m_parts.refreshLeaseCandidates(now);
             m_parts.m_router.refresh(now);
             m_parts.m_router.setLink(static_cast<double>(m_parts.m_settings.m_linkBytesPerSecond),
                                      static_cast<int>(m_parts.m_membership.state().m_table.size()),
@@ -131,6 +147,7 @@
     m_parts.m_leaving = true;
     m_parts.m_incoming.setLeaving(true);
     m_parts.m_membership.take(membership::LeaveStarted{});
+    m_parts.m_leases.leave();
     m_callers->stopAccepting();
     boost::asio::co_spawn(m_parts.m_context, drain(), boost::asio::detached);
 }
--- a/packages/node/runtime/node.h
+++ b/packages/node/runtime/node.h
@@ -43,6 +43,7 @@
 
 private:
     void receive(const adapters::PeerHandle &from, messages::Frame &&frame);
+    void receiveSharedState(const messages::SharedStateMessage &message);
     adapters::Task<> pollConfiguration();
     adapters::Task<> watchMembers();
     void watchBackend(std::chrono::steady_clock::time_point now);
--- a/packages/node/runtime/nodeparts.cpp
+++ b/packages/node/runtime/nodeparts.cpp
@@ -44,6 +44,15 @@
                    [this](const std::string &address, const messages::Frame &frame) {
                        m_transport->send({false, address}, frame);
                    })
+    , m_leases(context.get_executor(), m_platform, m_random,
+               [this](const std::string &address, const messages::Frame &frame) {
+                   m_transport->send({false, address}, frame);
+               })
+    , m_rates(context.get_executor(), m_leases, m_random, m_settings.m_failureDomain,
+              m_settings.m_advertisedAddress,
+              [this](const std::string &address, const messages::Frame &frame) {
+                  m_transport->send({false, address}, frame);
+              })
     , m_backend(context.get_executor(), m_settings.m_backendHeadBytes,
                 m_settings.m_backendConnectTimeout)
     , m_incoming(context.get_executor(), m_backend, m_recorder, m_settings.m_incomingCalls,
@@ -81,6 +90,23 @@
     return members;
 }
 
+void NodeParts::refreshLeaseCandidates(std::chrono::steady_clock::time_point now)
+{
+    const membership::MembershipState &members = m_membership.state();
+    // The own incarnation can still rise until the table of another node has come.
+    if (!membership::hasJoined(members) && !membership::isIsolated(members, now))
+        return;
+    LeaseCandidates all = rankLeaseCandidates(members, now);
+    const std::string prefix = "rates/" + m_settings.m_failureDomain + "/";
+    LeaseCandidates own;
+    for (const LeaseCandidates::value_type &entry : all) {
+        if (entry.first.starts_with(prefix))
+            own.insert(entry);
+    }
+    m_leases.setCandidates({m_settings.m_advertisedAddress, members.m_self.m_incarnation}, own);
+    m_rates.setCandidates(std::move(all));
+}
+
 std::size_t NodeParts::nodesInDomain() const
 {
     const std::size_t present =
--- a/packages/node/runtime/nodeparts.h
+++ b/packages/node/runtime/nodeparts.h
@@ -6,7 +6,9 @@
 #include "node/calls/outgoingcalls.h"
 #include "node/control/configurationstate.h"
 #include "node/control/configurationstore.h"
+#include "node/control/leaseservice.h"
 #include "node/control/membershipservice.h"
+#include "node/control/rateservice.h"
 #include "node/entry/callerrequests.h"
 #include "node/entry/callrunner.h"
 #include "node/entry/claimservice.h"
@@ -40,6 +42,9 @@
     /** @returns the members of a service as candidates for the choice of a node. */
     std::vector<routing::Member> membersOf(const std::string &service) const;
 
+    /** Tells the leases and rates which nodes may hold a lease. */
+    void refreshLeaseCandidates(std::chrono::steady_clock::time_point now);
+
     /** @returns the number of present nodes in the own failure domain; at least 1. */
     std::size_t nodesInDomain() const;
 
@@ -60,6 +65,8 @@
     ConfigurationStore m_configurationStore;
     std::unique_ptr<adapters::PeerTransport> m_transport;
     MembershipService m_membership;
+    LeaseService m_leases;
+    RateService m_rates;
     BackendServer m_backend;
     IncomingCalls m_incoming;
     OutgoingCalls m_outgoing;
--- a/tests/node/operators_test.cpp
+++ b/tests/node/operators_test.cpp
@@ -78,6 +78,9 @@
         REQUIRE(announced == 200);
         const bool published = co_await fleet.publish(sampleConfiguration());
         REQUIRE(published);
+        // The lease of a rate group is taken while the store is up.
+        const bool serving = co_await fleet.untilServing(0, "slipdesk", 1);
+        REQUIRE(serving);
         fleet.platform().m_down = true;
         co_await adapters::sleepFor(node::FreshnessBound + std::chrono::milliseconds(200));
         TestRequest keyed;
