--- a/standins/caller/report.cpp
+++ b/standins/caller/report.cpp
@@ -51,13 +51,17 @@
                                               * static_cast<double>(latencies.size() - 1))];
 }
 
-/** An organisation over its rate is not counted as worst served. */
-bool isWithinRate(const Scenario &scenario, const std::string &organisation, std::size_t demand)
+/** An organisation whose demand exceeds its rate at any time is not counted as worst served. */
+bool isWithinRate(const Scenario &scenario, const std::string &organisation)
 {
-    const double seconds = std::chrono::duration<double>(scenario.m_duration).count();
+    double peak = 0.0;
+    for (const Flow &flow : scenario.m_flows) {
+        if (flow.m_organisation == organisation)
+            peak += flow.m_requestsPerSecond * std::max(1.0, flow.m_surgeFactor);
+    }
     for (const OrganisationLimit &limit : scenario.m_limits) {
         if (limit.m_organisation == organisation)
-            return static_cast<double>(demand) <= limit.m_rate * seconds + limit.m_burst;
+            return peak <= limit.m_rate;
     }
     return true;
 }
@@ -92,7 +96,7 @@
                     sum.m_succeeded, sum.m_refused, sum.successRatio());
         succeeded += sum.m_succeeded;
         refused += sum.m_refused;
-        if (isWithinRate(scenario, entry.first, sum.m_demand) && sum.successRatio() < worstRatio) {
+        if (isWithinRate(scenario, entry.first) && sum.successRatio() < worstRatio) {
             worst = entry.first;
             worstRatio = sum.successRatio();
         }
