--- a/packages/node/calls/outgoingcalls.cpp
+++ b/packages/node/calls/outgoingcalls.cpp
@@ -121,12 +121,12 @@
 
 void OutgoingCalls::undelivered(const adapters::PeerHandle &to, const messages::Frame &frame)
 {
-    if (const auto *start = std::get_if<messages::CallStart>(&frame)) {
+    if (const messages::CallStart *start = std::get_if<messages::CallStart>(&frame)) {
         if (OutgoingCall *call = find(to, start->m_key)) {
             call->m_undelivered = true;
             call->m_changed->notify();
         }
-    } else if (const auto *body = std::get_if<messages::CallBody>(&frame)) {
+    } else if (const messages::CallBody *body = std::get_if<messages::CallBody>(&frame)) {
         OutgoingCall *call = find(to, body->m_key);
         if (call != nullptr && !call->ended()) {
             call->m_broken = true;
--- a/packages/node/control/leaseservice.cpp
+++ b/packages/node/control/leaseservice.cpp
@@ -72,11 +72,13 @@
 
 void LeaseService::receive(const messages::SharedStatePayload &payload)
 {
-    if (const auto *request = std::get_if<sharedstate::LeasePromiseRequest>(&payload)) {
+    if (const sharedstate::LeasePromiseRequest *request =
+                std::get_if<sharedstate::LeasePromiseRequest>(&payload)) {
         const auto state = m_states.find(request->m_lease);
         if (state != m_states.end())
             take(state->second, *request);
-    } else if (const auto *promise = std::get_if<sharedstate::LeasePromise>(&payload)) {
+    } else if (const sharedstate::LeasePromise *promise =
+                       std::get_if<sharedstate::LeasePromise>(&payload)) {
         const auto state = m_states.find(promise->m_lease);
         if (state != m_states.end())
             take(state->second, *promise);
--- a/packages/node/control/membershipservice.cpp
+++ b/packages/node/control/membershipservice.cpp
@@ -96,7 +96,7 @@
                messages::MembershipMessage{m_state.m_self.m_id, send.m_payload});
     }
     for (const membership::StoreOperation &operation : effects.m_storeOperations) {
-        if (const auto *write = std::get_if<membership::WriteSeed>(&operation))
+        if (const membership::WriteSeed *write = std::get_if<membership::WriteSeed>(&operation))
             boost::asio::co_spawn(m_executor, writeSeed(*write), boost::asio::detached);
         else
             boost::asio::co_spawn(m_executor, readSeeds(), boost::asio::detached);
--- a/packages/node/control/rateservice.cpp
+++ b/packages/node/control/rateservice.cpp
@@ -94,11 +94,12 @@
 
 void RateService::receive(const messages::SharedStatePayload &payload)
 {
-    if (const auto *request = std::get_if<sharedstate::GrantRequest>(&payload)) {
+    if (const sharedstate::GrantRequest *request =
+                std::get_if<sharedstate::GrantRequest>(&payload)) {
         takeRequest(*request);
-    } else if (const auto *grant = std::get_if<sharedstate::Grant>(&payload)) {
+    } else if (const sharedstate::Grant *grant = std::get_if<sharedstate::Grant>(&payload)) {
         takeGrant(*grant);
-    } else if (const auto *holder = std::get_if<messages::GroupHolder>(&payload)) {
+    } else if (const messages::GroupHolder *holder = std::get_if<messages::GroupHolder>(&payload)) {
         HolderSearch &search = m_holders[holder->m_group];
         search.m_known = holder->m_address;
         search.m_waitingSince.reset();
--- a/packages/node/control/storeexecutor.cpp
+++ b/packages/node/control/storeexecutor.cpp
@@ -81,23 +81,27 @@
 {
     StoreResult result;
     result.m_id = request.m_id;
-    if (const auto *read = std::get_if<sharedstate::RowRead>(&request.m_operation)) {
+    if (const sharedstate::RowRead *read =
+                std::get_if<sharedstate::RowRead>(&request.m_operation)) {
         const adapters::RowsResult rows = co_await platform.readRow(read->m_row);
         takeRows(rows, result);
-    } else if (const auto *scan = std::get_if<sharedstate::RowScan>(&request.m_operation)) {
+    } else if (const sharedstate::RowScan *scan =
+                       std::get_if<sharedstate::RowScan>(&request.m_operation)) {
         const adapters::RowsResult rows = co_await platform.readRows(scan->m_prefix);
         takeRows(rows, result);
-    } else if (const auto *writes =
+    } else if (const sharedstate::RowTransaction *writes =
                        std::get_if<sharedstate::RowTransaction>(&request.m_operation)) {
         const adapters::TransactionResult written =
                 co_await platform.transact(toOperations(*writes), writes->m_atomic);
         takeWrites(written, result);
-    } else if (const auto *object = std::get_if<sharedstate::ObjectRead>(&request.m_operation)) {
+    } else if (const sharedstate::ObjectRead *object =
+                       std::get_if<sharedstate::ObjectRead>(&request.m_operation)) {
         adapters::ObjectResult found = co_await platform.getObject(object->m_name);
         result.m_outcome = toOutcome(found.m_status);
         if (found.m_status == PlatformStatus::Ok)
             result.m_object = std::move(found.m_body);
-    } else if (const auto *put = std::get_if<sharedstate::ObjectWrite>(&request.m_operation)) {
+    } else if (const sharedstate::ObjectWrite *put =
+                       std::get_if<sharedstate::ObjectWrite>(&request.m_operation)) {
         const PlatformStatus status = co_await platform.putObject(put->m_name, put->m_body);
         result.m_outcome = toOutcome(status);
     }
--- a/packages/node/inbound/incomingcalls.cpp
+++ b/packages/node/inbound/incomingcalls.cpp
@@ -116,14 +116,14 @@
 
 void IncomingCalls::receive(const adapters::PeerHandle &from, messages::Frame &&frame)
 {
-    if (auto *start = std::get_if<messages::CallStart>(&frame)) {
+    if (messages::CallStart *start = std::get_if<messages::CallStart>(&frame)) {
         startCall(from, std::move(*start));
-    } else if (auto *body = std::get_if<messages::CallBody>(&frame)) {
+    } else if (messages::CallBody *body = std::get_if<messages::CallBody>(&frame)) {
         receiveBody(from, std::move(*body));
-    } else if (const auto *cancelled = std::get_if<messages::CallCancel>(&frame)) {
+    } else if (const messages::CallCancel *cancelled = std::get_if<messages::CallCancel>(&frame)) {
         if (const CallPointer call = find(from, cancelled->m_key))
             cancel(call);
-    } else if (const auto *window = std::get_if<messages::AnswerWindow>(&frame)) {
+    } else if (const messages::AnswerWindow *window = std::get_if<messages::AnswerWindow>(&frame)) {
         if (const CallPointer call = find(from, window->m_key)) {
             // A peer cannot open the window beyond its size and make this node buffer more.
             call->m_answerCredit = std::min<std::uint64_t>(AnswerWindowBytes,
--- a/packages/node/runtime/node.cpp
+++ b/packages/node/runtime/node.cpp
@@ -75,9 +75,11 @@
 
 void Node::receive(const adapters::PeerHandle &from, messages::Frame &&frame)
 {
-    if (const auto *message = std::get_if<messages::MembershipMessage>(&frame))
+    if (const messages::MembershipMessage *message =
+                std::get_if<messages::MembershipMessage>(&frame))
         m_parts.m_membership.receive(*message);
-    else if (const auto *shared = std::get_if<messages::SharedStateMessage>(&frame))
+    else if (const messages::SharedStateMessage *shared =
+                     std::get_if<messages::SharedStateMessage>(&frame))
         receiveSharedState(*shared);
     else if (from.m_inbound)
         m_parts.m_incoming.receive(from, std::move(frame));
--- a/tests/sharedstate/simulation/fakestore.cpp
+++ b/tests/sharedstate/simulation/fakestore.cpp
@@ -90,26 +90,31 @@
     StoreResult result;
     result.m_id = request.m_id;
     result.m_outcome = StoreOutcome::Done;
-    if (const auto *read = std::get_if<sharedstate::RowRead>(&request.m_operation)) {
+    if (const sharedstate::RowRead *read =
+                std::get_if<sharedstate::RowRead>(&request.m_operation)) {
         ++m_readCount;
         if (const sharedstate::StoredRow *found = row(read->m_row))
             result.m_rows.push_back(*found);
-    } else if (const auto *scan = std::get_if<sharedstate::RowScan>(&request.m_operation)) {
+    } else if (const sharedstate::RowScan *scan =
+                       std::get_if<sharedstate::RowScan>(&request.m_operation)) {
         ++m_readCount;
         for (const auto &entry : m_rows) {
             if (entry.first.starts_with(scan->m_prefix))
                 result.m_rows.push_back(entry.second);
         }
-    } else if (const auto *write = std::get_if<sharedstate::RowTransaction>(&request.m_operation)) {
+    } else if (const sharedstate::RowTransaction *write =
+                       std::get_if<sharedstate::RowTransaction>(&request.m_operation)) {
         ++m_writeCount;
         for (const sharedstate::RowWrite &single : write->m_writes)
             result.m_writes.push_back(applyWrite(single));
-    } else if (const auto *get = std::get_if<sharedstate::ObjectRead>(&request.m_operation)) {
+    } else if (const sharedstate::ObjectRead *get =
+                       std::get_if<sharedstate::ObjectRead>(&request.m_operation)) {
         const std::map<std::string, std::string>::const_iterator found =
                 m_objects.find(get->m_name);
         if (found != m_objects.end())
             result.m_object = found->second;
-    } else if (const auto *put = std::get_if<sharedstate::ObjectWrite>(&request.m_operation)) {
+    } else if (const sharedstate::ObjectWrite *put =
+                       std::get_if<sharedstate::ObjectWrite>(&request.m_operation)) {
         m_objects[put->m_name] = put->m_body;
     }
     return result;
