Show the rate leases to operators

The node now lists the leases that it holds, may take or is named in, with holder and epoch. Measured: the new case of node_tests passes.

--- a/packages/node/control/operatorapi.cpp
+++ b/packages/node/control/operatorapi.cpp
@@ -135,6 +135,9 @@
         co_await sendJson(exchange, 200, limitsView(parts));
     } else if (path == "/operators/routes") {
         co_await sendJson(exchange, 200, routesView(parts));
+    } else if (path == "/operators/leases") {
+        const std::string text = leasesView(parts, std::chrono::steady_clock::now());
+        co_await sendJson(exchange, 200, text);
     } else if (path.starts_with(RequestPath)) {
         co_await sendRequestView(parts, exchange, path.substr(RequestPath.size()));
     } else {
--- a/packages/node/control/operatorviews.cpp
+++ b/packages/node/control/operatorviews.cpp
@@ -106,6 +106,23 @@
     return json::serialize(json::object{{"routes", std::move(list)}});
 }
 
+std::string leasesView(const NodeParts &parts, std::chrono::steady_clock::time_point now)
+{
+    json::array list;
+    for (const std::pair<const std::string, sharedstate::LeaseState> &entry :
+         parts.m_leases.states()) {
+        json::object lease{{"name", entry.first}};
+        const std::optional<sharedstate::LeaseRow> &row = entry.second.m_row;
+        if (row && row->m_holder)
+            lease["holder"] = row->m_holder->m_node;
+        if (row)
+            lease["epoch"] = row->m_epoch;
+        lease["heldHere"] = parts.m_leases.holds(entry.first, now);
+        list.push_back(std::move(lease));
+    }
+    return json::serialize(json::object{{"leases", std::move(list)}});
+}
+
 std::string requestView(const std::string &id, const std::vector<RecordedDecision> &decisions)
 {
     json::array list;
--- a/packages/node/control/operatorviews.h
+++ b/packages/node/control/operatorviews.h
@@ -5,6 +5,7 @@
 
 #include <boost/json/array.hpp>
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
 std::string membersView(const NodeParts &parts);
 std::string limitsView(const NodeParts &parts);
 std::string routesView(const NodeParts &parts);
+/** The leases that this node holds, may take or is named in as a successor, as it knows them. */
+std::string leasesView(const NodeParts &parts, std::chrono::steady_clock::time_point now);
 std::string requestView(const std::string &id, const std::vector<RecordedDecision> &decisions);
 /** @} */
 
--- a/tests/node/operators_test.cpp
+++ b/tests/node/operators_test.cpp
@@ -64,6 +64,37 @@
     });
 }
 
+// Guards against operators who cannot see which node grants the rates of a failure domain.
+TEST_CASE("The holder of each rate lease can be read")
+{
+    Fleet fleet(1);
+    fleet.run([&fleet]() -> adapters::Task<> {
+        const auto handler = [](adapters::HttpExchange &exchange) -> adapters::Task<> {
+            co_await node::sendJson(exchange, 200, "{}");
+        };
+        FakeBackend backend(fleet.executor(), handler);
+        const int announced =
+                co_await backend.announce(fleet.settings(0).m_localAddress, "slipdesk");
+        REQUIRE(announced == 200);
+        const bool published = co_await fleet.publish(sampleConfiguration());
+        REQUIRE(published);
+        const bool serving = co_await fleet.untilServing(0, "slipdesk", 1);
+        REQUIRE(serving);
+        const TestResponse response = co_await get(fleet, 0, "/operators/leases");
+        CHECK(response.m_status == 200);
+        const boost::json::value body = boost::json::parse(response.m_body);
+        const boost::json::array &leases = body.at("leases").as_array();
+        CHECK(leases.size() == sharedstate::RateLeasesPerDomain);
+        const std::string own = fleet.settings(0).m_advertisedAddress;
+        std::size_t held = 0;
+        for (const boost::json::value &lease : leases) {
+            if (lease.at("heldHere").as_bool() && lease.at("holder").as_string() == own)
+                ++held;
+        }
+        CHECK(held > 0);
+    });
+}
+
 // Guards against keyed requests that are served after the proof of the configuration has expired.
 TEST_CASE("Without a fresh proof keyed requests are refused and open ones are served")
 {
