--- a/packages/node/control/rateservice.cpp
+++ b/packages/node/control/rateservice.cpp
@@ -17,6 +17,10 @@
 // A holder that did not respond for this long is looked for anew.
 constexpr std::chrono::milliseconds HolderTimeout{300};
 
+// Twice the round trip between regions. An entry asks up to 4 groups 20 ms apart and refuses after
+// 150 ms, so the last one was asked 90 ms before.
+constexpr std::chrono::milliseconds SilentTime{50};
+
 } // namespace
 
 RateService::RateService(const boost::asio::any_io_executor &executor, LeaseService &leases,
@@ -151,16 +155,18 @@
     sharedstate::creditCharge(m_entry, charge, steady_clock::now());
 }
 
-bool RateService::holdersAreSilent(const std::string &organisation) const
+bool RateService::holdersAreSilent(const std::string &organisation,
+                                   steady_clock::time_point now) const
 {
     const auto entry = m_entry.m_organisations.find(organisation);
     if (entry == m_entry.m_organisations.end())
         return false;
     const std::vector<std::string> &groups = entry->second.m_groups;
-    return std::all_of(groups.begin(), groups.end(), [this](const std::string &group) {
+    return std::all_of(groups.begin(), groups.end(), [this, now](const std::string &group) {
         const auto search = m_holders.find(group);
         return search == m_holders.end() || !search->second.m_known
-                || search->second.m_waitingSince;
+                || (search->second.m_waitingSince
+                    && now - *search->second.m_waitingSince > SilentTime);
     });
 }
 
--- a/packages/node/control/rateservice.h
+++ b/packages/node/control/rateservice.h
@@ -51,10 +51,11 @@
     void credit(const sharedstate::Charge &charge);
 
     /**
-     * @returns whether no holder of the organisation's groups is known or responds. Requests are
-     * then refused although the organisation may be within its rate.
+     * @returns whether no holder of the organisation's groups is known or has responded lately.
+     * Requests are then refused although the organisation may be within its rate.
      */
-    bool holdersAreSilent(const std::string &organisation) const;
+    bool holdersAreSilent(const std::string &organisation,
+                          std::chrono::steady_clock::time_point now) const;
 
     /** @returns whether a group of this organisation in the own domain makes grants here. */
     bool grantsHere(const std::string &organisation,
--- a/packages/node/entry/callerhandler.cpp
+++ b/packages/node/entry/callerhandler.cpp
@@ -46,7 +46,8 @@
     plan->m_charge = co_await parts.m_rates.charge(std::move(organisation));
     if (plan->m_charge)
         co_return;
-    const bool silent = parts.m_rates.holdersAreSilent(plan->m_context.m_organisation);
+    const bool silent =
+            parts.m_rates.holdersAreSilent(plan->m_context.m_organisation, steady_clock::now());
     RefusalReply refusal{silent ? 503 : 429, true, silent ? "rate-holder-unreachable" : "rate",
                          overload::callerRetryDelay(plan->m_callerRepeats, parts.m_random)};
     decision = std::move(refusal);
