--- a/tests/node/hostileinput_test.cpp
+++ b/tests/node/hostileinput_test.cpp
@@ -33,18 +33,6 @@
     co_return received;
 }
 
-adapters::Task<> prepare(Fleet &fleet, FakeBackend &backend)
-{
-    const std::size_t last = fleet.size() - 1;
-    const int announced =
-            co_await backend.announce(fleet.settings(last).m_localAddress, "slipdesk");
-    REQUIRE(announced == 200);
-    const bool published = co_await fleet.publish(sampleConfiguration());
-    REQUIRE(published);
-    const bool serving = co_await fleet.untilServing(0, "slipdesk", 1);
-    REQUIRE(serving);
-}
-
 FakeBackend::Handler simple()
 {
     return [](adapters::HttpExchange &exchange) -> adapters::Task<> {
@@ -86,7 +74,7 @@
     Fleet fleet(1, useShortLimits);
     fleet.run([&fleet]() -> adapters::Task<> {
         FakeBackend backend(fleet.executor(), simple());
-        co_await prepare(fleet, backend);
+        co_await prepareServing(fleet, backend, fleet.size() - 1, "slipdesk");
         const std::string address = fleet.settings(0).m_callerAddress;
         const auto start = std::chrono::steady_clock::now();
         const std::string slowHead = co_await sendRaw(address, "GET /open HTTP/1.1\r\nX: ");
@@ -104,7 +92,7 @@
     Fleet fleet(1);
     fleet.run([&fleet]() -> adapters::Task<> {
         FakeBackend backend(fleet.executor(), simple());
-        co_await prepare(fleet, backend);
+        co_await prepareServing(fleet, backend, fleet.size() - 1, "slipdesk");
         TestRequest request;
         request.m_method = "POST";
         request.m_target = "/open";
@@ -127,7 +115,7 @@
     Fleet fleet(1, useShortLimits);
     fleet.run([&fleet]() -> adapters::Task<> {
         FakeBackend backend(fleet.executor(), simple());
-        co_await prepare(fleet, backend);
+        co_await prepareServing(fleet, backend, fleet.size() - 1, "slipdesk");
         const tcp::endpoint endpoint = adapters::parseEndpoint(fleet.settings(0).m_callerAddress);
         std::vector<tcp::socket> held;
         for (int index = 0; index < 20; ++index) {
@@ -156,7 +144,7 @@
     Fleet fleet(1);
     fleet.run([&fleet]() -> adapters::Task<> {
         FakeBackend backend(fleet.executor(), simple());
-        co_await prepare(fleet, backend);
+        co_await prepareServing(fleet, backend, fleet.size() - 1, "slipdesk");
         const adapters::MeshKeys &keys = fleet.settings(0).m_meshKeys;
         zmq::context_t context(1);
         zmq::socket_t peer(context, zmq::socket_type::dealer);
@@ -195,7 +183,7 @@
             co_await exchange.respond(head, "{}");
         };
         FakeBackend backend(fleet.executor(), handler);
-        co_await prepare(fleet, backend);
+        co_await prepareServing(fleet, backend, fleet.size() - 1, "slipdesk");
         TestRequest request;
         request.m_target = "/open";
         const TestResponse response =
--- a/tests/node/lifecycle_test.cpp
+++ b/tests/node/lifecycle_test.cpp
@@ -18,16 +18,6 @@
     return request;
 }
 
-adapters::Task<> prepare(Fleet &fleet, FakeBackend &backend, std::size_t node, std::string service)
-{
-    const int announced = co_await backend.announce(fleet.settings(node).m_localAddress, service);
-    REQUIRE(announced == 200);
-    const bool published = co_await fleet.publish(sampleConfiguration());
-    REQUIRE(published);
-    const bool serving = co_await fleet.untilServing(0, service, 1);
-    REQUIRE(serving);
-}
-
 /** Answers after the given time. */
 FakeBackend::Handler slow(std::chrono::milliseconds time)
 {
@@ -45,7 +35,7 @@
     Fleet fleet(2);
     fleet.run([&fleet]() -> adapters::Task<> {
         FakeBackend backend(fleet.executor(), slow(std::chrono::milliseconds(500)));
-        co_await prepare(fleet, backend, 1, "slipdesk");
+        co_await prepareServing(fleet, backend, 1, "slipdesk");
         TestResponse first;
         boost::asio::co_spawn(
                 fleet.executor(),
@@ -85,7 +75,7 @@
             exchange.abort();
         };
         FakeBackend backend(fleet.executor(), handler);
-        co_await prepare(fleet, backend, 1, "slipdesk");
+        co_await prepareServing(fleet, backend, 1, "slipdesk");
         {
             adapters::HttpConnection caller(fleet.executor(), 1024);
             const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
@@ -117,7 +107,7 @@
     Fleet fleet(2);
     fleet.run([&fleet]() -> adapters::Task<> {
         FakeBackend backend(fleet.executor(), slow(std::chrono::seconds(4)));
-        co_await prepare(fleet, backend, 1, "slipdesk");
+        co_await prepareServing(fleet, backend, 1, "slipdesk");
         const auto start = std::chrono::steady_clock::now();
         const TestResponse response =
                 co_await sendRequest(fleet.settings(0).m_callerAddress, keyedRequest("/slips"));
@@ -141,7 +131,7 @@
             exchange.abort();
         };
         FakeBackend backend(fleet.executor(), handler);
-        co_await prepare(fleet, backend, 1, "slipdesk");
+        co_await prepareServing(fleet, backend, 1, "slipdesk");
         const TestResponse response =
                 co_await sendRequest(fleet.settings(0).m_callerAddress, keyedRequest("/slips"));
         CHECK_FALSE(response.m_complete);
@@ -170,7 +160,7 @@
             co_await exchange.finishResponse();
         };
         FakeBackend backend(fleet.executor(), handler);
-        co_await prepare(fleet, backend, 1, "slipdesk");
+        co_await prepareServing(fleet, backend, 1, "slipdesk");
         TestRequest request = keyedRequest("/slips");
         request.m_method = "POST";
         for (int index = 0; request.m_body.size() < 900000; ++index)
@@ -209,7 +199,7 @@
         const int announced =
                 co_await rolls.announce(fleet.settings(0).m_localAddress, "staffrolls");
         REQUIRE(announced == 200);
-        co_await prepare(fleet, desk, 1, "slipdesk");
+        co_await prepareServing(fleet, desk, 1, "slipdesk");
         const bool serving = co_await fleet.untilServing(1, "staffrolls", 1);
         REQUIRE(serving);
         const TestResponse response =
--- a/tests/node/onceonly_test.cpp
+++ b/tests/node/onceonly_test.cpp
@@ -17,16 +17,6 @@
     return request;
 }
 
-adapters::Task<> prepare(Fleet &fleet, FakeBackend &backend)
-{
-    const int announced = co_await backend.announce(fleet.settings(0).m_localAddress, "printhall");
-    REQUIRE(announced == 200);
-    const bool published = co_await fleet.publish(sampleConfiguration());
-    REQUIRE(published);
-    const bool serving = co_await fleet.untilServing(0, "printhall", 1);
-    REQUIRE(serving);
-}
-
 FakeBackend::Handler printer()
 {
     return [](adapters::HttpExchange &exchange) -> adapters::Task<> {
@@ -45,7 +35,7 @@
     Fleet fleet(2);
     fleet.run([&fleet]() -> adapters::Task<> {
         FakeBackend backend(fleet.executor(), printer());
-        co_await prepare(fleet, backend);
+        co_await prepareServing(fleet, backend, 0, "printhall");
         const TestResponse first =
                 co_await sendRequest(fleet.settings(0).m_callerAddress, printOrder("order-1", "a"));
         CHECK(first.m_status == 201);
@@ -72,7 +62,7 @@
     Fleet fleet(1);
     fleet.run([&fleet]() -> adapters::Task<> {
         FakeBackend backend(fleet.executor(), printer());
-        co_await prepare(fleet, backend);
+        co_await prepareServing(fleet, backend, 0, "printhall");
         TestRequest keyless = printOrder("x", "a");
         keyless.m_fields.pop_back();
         const TestResponse first = co_await sendRequest(fleet.settings(0).m_callerAddress, keyless);
@@ -93,7 +83,7 @@
     Fleet fleet(1);
     fleet.run([&fleet]() -> adapters::Task<> {
         FakeBackend backend(fleet.executor(), printer());
-        co_await prepare(fleet, backend);
+        co_await prepareServing(fleet, backend, 0, "printhall");
         fleet.platform().m_lostWriteResponses = 1;
         const TestResponse response =
                 co_await sendRequest(fleet.settings(0).m_callerAddress, printOrder("order-3", "a"));
@@ -113,7 +103,7 @@
             exchange.abort();
         };
         FakeBackend backend(fleet.executor(), breaking);
-        co_await prepare(fleet, backend);
+        co_await prepareServing(fleet, backend, 0, "printhall");
         const TestResponse first =
                 co_await sendRequest(fleet.settings(0).m_callerAddress, printOrder("order-4", "a"));
         CHECK(first.m_status == 502);
--- a/tests/node/operators_test.cpp
+++ b/tests/node/operators_test.cpp
@@ -73,13 +73,7 @@
             co_await node::sendJson(exchange, 200, "{}");
         };
         FakeBackend backend(fleet.executor(), handler);
-        const int announced =
-                co_await backend.announce(fleet.settings(0).m_localAddress, "slipdesk");
-        REQUIRE(announced == 200);
-        const bool published = co_await fleet.publish(sampleConfiguration());
-        REQUIRE(published);
-        const bool serving = co_await fleet.untilServing(0, "slipdesk", 1);
-        REQUIRE(serving);
+        co_await prepareServing(fleet, backend, 0, "slipdesk");
         const TestResponse response = co_await get(fleet, 0, "/operators/leases");
         CHECK(response.m_status == 200);
         const boost::json::value body = boost::json::parse(response.m_body);
@@ -104,14 +98,8 @@
             co_await node::sendJson(exchange, 200, "{}");
         };
         FakeBackend backend(fleet.executor(), handler);
-        const int announced =
-                co_await backend.announce(fleet.settings(0).m_localAddress, "slipdesk");
-        REQUIRE(announced == 200);
-        const bool published = co_await fleet.publish(sampleConfiguration());
-        REQUIRE(published);
         // The lease of a rate group is taken while the store is up.
-        const bool serving = co_await fleet.untilServing(0, "slipdesk", 1);
-        REQUIRE(serving);
+        co_await prepareServing(fleet, backend, 0, "slipdesk");
         fleet.platform().m_down = true;
         co_await adapters::sleepFor(node::FreshnessBound + std::chrono::milliseconds(200));
         TestRequest keyed;
--- a/tests/node/support/fleet.cpp
+++ b/tests/node/support/fleet.cpp
@@ -166,3 +166,14 @@
     };
     co_return co_await until(granting);
 }
+
+adapters::Task<> prepareServing(Fleet &fleet, FakeBackend &backend, std::size_t node,
+                                std::string service)
+{
+    const int announced = co_await backend.announce(fleet.settings(node).m_localAddress, service);
+    REQUIRE(announced == 200);
+    const bool published = co_await fleet.publish(sampleConfiguration());
+    REQUIRE(published);
+    const bool serving = co_await fleet.untilServing(0, service, 1);
+    REQUIRE(serving);
+}
--- a/tests/node/support/fleet.h
+++ b/tests/node/support/fleet.h
@@ -53,6 +53,13 @@
     std::vector<std::unique_ptr<chervilmount::node::Node>> m_nodes;
 };
 
+/**
+ * Announces the backend server at a node, publishes the sample configuration and waits until the
+ * first node can send requests to it; fails the test otherwise.
+ */
+chervilmount::adapters::Task<> prepareServing(Fleet &fleet, FakeBackend &backend, std::size_t node,
+                                              std::string service);
+
 /** @returns an unused "127.0.0.1:port". */
 std::string freeAddress();
 
