Count shed priorities from the least important one and use the rate tolerance

Cause: the admission integral was clamped to the priorities seen so far, so the first requests of a less important priority were refused (share 0.03) on an idle fleet; buckets of 1/N of a rate waste tokens that lie at other nodes.

--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -81,6 +81,7 @@
                     handleMetrics(session, request);
                 });
     m_pressure.m_settings = m_settings.m_pressure;
+    m_rates.m_settings = m_settings.m_rates;
     m_repeats.m_settings = m_settings.m_repeats;
     m_linkedAt = std::chrono::steady_clock::now();
     m_policy.m_onChanged = [this] { policyChanged(); };
@@ -137,7 +138,7 @@
     gauges.m_backendConnections = m_gate.connectionsMade();
     gauges.m_ready = isReady();
     for (const auto &[service, state] : m_pressure.m_services)
-        gauges.m_admitted.emplace(service, state.m_admitted);
+        gauges.m_shed.emplace(service, state.m_shed);
     Counters counters = m_counters;
     counters.m_storeCalls = m_store.m_calls;
     counters.m_storeFailures = m_store.m_failures;
--- a/packages/relay/runtime/relaysettings.h
+++ b/packages/relay/runtime/relaysettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/http/backendpool.h"
+#include "traffic/allotment/rateshare.h"
 #include "traffic/gate/gate.h"
 #include "traffic/placement/placement.h"
 #include "traffic/pressure/pressure.h"
@@ -75,6 +76,7 @@
     traffic::PlacementSettings m_placement;
     traffic::PressureSettings m_pressure;
     traffic::RepeatBudgetSettings m_repeats;
+    traffic::RateShareSettings m_rates;
     StopSettings m_stop;
     /** log4cxx level: "off", "error", "warn", "info" or "debug". */
     std::string m_logLevel = "info";
--- a/packages/relay/telemetry/counters.cpp
+++ b/packages/relay/telemetry/counters.cpp
@@ -54,10 +54,10 @@
           static_cast<double>(gauges.m_waiting));
     gauge("chervilmount_ready", "1 while the node answers that it is ready.",
           gauges.m_ready ? 1.0 : 0.0);
-    metrics.describe("chervilmount_admitted_priorities", "gauge",
-                     "Priorities admitted to call trees that need a service.");
-    for (const auto &[service, admitted] : gauges.m_admitted)
-        metrics.set("chervilmount_admitted_priorities", {{"service", service}}, admitted);
+    metrics.describe("chervilmount_shed_priorities", "gauge",
+                     "Priorities turned away, counted from the least important, by service needed.");
+    for (const auto &[service, shed] : gauges.m_shed)
+        metrics.set("chervilmount_shed_priorities", {{"service", service}}, shed);
     std::string text = metrics.text();
     text += "# HELP chervilmount_request_seconds Time from a request's arrival to its response.\n"
             "# TYPE chervilmount_request_seconds histogram\n";
--- a/packages/relay/telemetry/counters.h
+++ b/packages/relay/telemetry/counters.h
@@ -60,8 +60,8 @@
     std::size_t m_waiting = 0;
     std::uint64_t m_backendConnections = 0;
     bool m_ready = false;
-    /** Admitted priorities by service. */
-    std::map<std::string, double> m_admitted;
+    /** Priorities turned away, by service. */
+    std::map<std::string, double> m_shed;
 };
 
 /** @returns the metrics in the text exposition format. */
--- a/packages/traffic/allotment/rateshare.cpp
+++ b/packages/traffic/allotment/rateshare.cpp
@@ -43,6 +43,11 @@
 void setRate(RateShares &shares, const std::string &organisation, double rate, double burst,
              std::chrono::steady_clock::time_point now)
 {
+    if (rate > 0) {
+        rate *= 1.0 + shares.m_settings.m_rateTolerance;
+        burst = burst * (1.0 + shares.m_settings.m_rateTolerance)
+                + shares.m_settings.m_burstTolerance;
+    }
     const auto [entry, isNew] = shares.m_organisations.try_emplace(organisation);
     RateShare &share = entry->second;
     if (isNew)
--- a/packages/traffic/allotment/rateshare.h
+++ b/packages/traffic/allotment/rateshare.h
@@ -14,7 +14,12 @@
     /** Shortest time between two requests for tokens of one organisation. */
     std::chrono::milliseconds m_askInterval{100};
     /** Part of its tokens beyond its own need that a node gives away at once. */
-    double m_givenShare = 0.5;
+    double m_givenShare = 0.7;
+    /** Part by which rate and burst may be exceeded. It makes up for tokens that lie unused at one
+     * node while another one has none. */
+    double m_rateTolerance = 0.0;
+    /** Requests by which the burst may be exceeded, over all nodes. */
+    double m_burstTolerance = 0.0;
 };
 
 /** One organisation's tokens at one node. */
--- a/packages/traffic/pressure/pressure.cpp
+++ b/packages/traffic/pressure/pressure.cpp
@@ -31,15 +31,13 @@
     // refused where they are placed.
     state.m_use = load.m_slots > 0 ? load.m_runs / load.m_slots : 0.0;
     const double deviation = state.m_use - pressure.m_settings.m_target;
-    const double highest = pressure.m_lowestPriority + 1.0;
-    state.m_integral = std::clamp(
-            state.m_integral - pressure.m_settings.m_integral * deviation * step, 0.0, highest);
+    const double most = pressure.m_lowestPriority + 1.0;
+    double integral = state.m_integral + pressure.m_settings.m_integral * deviation * step;
     if (state.m_use > pressure.m_settings.m_overloaded)
-        state.m_integral *= pressure.m_settings.m_cut;
-    state.m_admitted =
-            std::clamp(state.m_integral
-                               - pressure.m_settings.m_proportional * std::max(0.0, deviation),
-                       0.0, highest);
+        integral += pressure.m_settings.m_rise;
+    state.m_integral = std::clamp(integral, 0.0, most);
+    const double proportional = pressure.m_settings.m_proportional * std::max(0.0, deviation);
+    state.m_shed = std::clamp(state.m_integral + proportional, 0.0, most);
 }
 
 TreeDecision admitTree(Pressure &pressure, std::span<const std::string> services, int priority,
@@ -51,8 +49,9 @@
         const auto found = pressure.m_services.find(service);
         if (found == pressure.m_services.end())
             continue;
+        const double lessImportant = pressure.m_lowestPriority - priority;
         const double share =
-                std::clamp(found->second.m_admitted - priority, SmallestShare, 1.0);
+                std::clamp(1.0 - (found->second.m_shed - lessImportant), SmallestShare, 1.0);
         if (share < decision.m_share) {
             decision.m_share = share;
             decision.m_service = service;
--- a/packages/traffic/pressure/pressure.h
+++ b/packages/traffic/pressure/pressure.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "model/configuration/priority.h"
-
 #include <chrono>
 #include <cstdint>
 #include <random>
@@ -16,13 +14,13 @@
 {
     /** Part of a service's usable slots that may be taken before requests are turned away. */
     double m_target = 0.92;
-    /** Change of the admitted priorities for a deviation of 1 from the target. */
+    /** Change of the priorities turned away for a deviation of 1 from the target. */
     double m_proportional = 0.35;
     /** The same, for each second that the deviation lasts. */
     double m_integral = 0.8;
-    /** Use above which admission is reduced by m_cut at once, whatever the integral says. */
+    /** Use above which m_rise more is turned away with each update. */
     double m_overloaded = 1.25;
-    double m_cut = 0.85;
+    double m_rise = 0.1;
 };
 
 /** Use of a service's slots as the nodes beside its backend servers reported it. */
@@ -36,12 +34,11 @@
 /** Admission to one service at one entry node. */
 struct ServicePressure
 {
-    /**
-     * Priorities that are admitted: 2.3 admits priorities 0 and 1 and 30 % of priority 2. Its bound
-     * moves with the priorities in use, so that the control never winds up.
-     */
-    double m_admitted = model::PriorityLevels;
-    double m_integral = model::PriorityLevels;
+    /** Priorities that are turned away, counted from the least important one in use: 1.3 turns
+     * away that priority and 30 % of the next one. */
+    double m_shed = 0.0;
+    /** Part of m_shed that has built up over time. */
+    double m_integral = 0.0;
     double m_use = 0.0;
     std::chrono::steady_clock::time_point m_updatedAt;
 };
