Treat calls on open routes as nested also when their run is not known

Cause: some nested calls expire before the run that makes them, so the search by deadline did not find their run and they were shed like callers' requests; almost every call tree failed under a surge.

Change: such calls count as nested, and are divided among the running routes by an online estimate for the learned call graph.

--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -103,19 +103,24 @@
 
 void EntryHandler::findParent(EntryRequest &request)
 {
-    if (!request.m_route->m_open)
+    if (!request.m_route->m_open && request.m_policy->policy().m_requiresKeys)
         return;
     const std::int64_t patience = parseNumber(
             fieldValue(request.m_request, m_services.m_settings.m_headers.m_deadline));
-    if (patience < 0)
+    const std::optional<ParentRun> parent = patience < 0
+            ? std::nullopt
+            : m_services.m_gate.parentOf(request.m_arrivedAt + Milliseconds(patience));
+    if (parent) {
+        request.m_nested = true;
+        request.m_priority = parent->m_priority;
+        m_services.m_gate.recordNestedCall(parent->m_route, request.m_route->m_name);
         return;
-    const std::optional<ParentRun> parent =
-            m_services.m_gate.parentOf(request.m_arrivedAt + Milliseconds(patience));
-    if (!parent)
+    }
+    // Backend servers call without a key, and some calls expire before the run that makes them.
+    if (!request.m_policy->policy().m_requiresKeys || m_services.m_gate.activeRuns() == 0)
         return;
     request.m_nested = true;
-    request.m_priority = parent->m_priority;
-    m_services.m_gate.recordNestedCall(parent->m_route, request.m_route->m_name);
+    m_services.m_gate.recordUnassignedCall(request.m_route->m_name);
 }
 
 void EntryHandler::charge(const std::shared_ptr<HttpSession> &session, EntryRequest request)
--- a/packages/relay/http/httpclientconnection.cpp
+++ b/packages/relay/http/httpclientconnection.cpp
@@ -118,7 +118,7 @@
         close();
         return;
     }
-    if (error == boost::asio::error::eof && m_parser) {
+    if (error == boost::asio::error::eof && m_parser->got_some()) {
         // A response without length ends with the connection, provided that it was not reset.
         boost::system::error_code parseError;
         m_parser->put_eof(parseError);
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -152,6 +152,11 @@
     traffic::recordNestedCall(m_profile, parentRoute, route);
 }
 
+void LocalGate::recordUnassignedCall(const std::string &route)
+{
+    traffic::recordUnassignedCall(m_profile, m_active, route);
+}
+
 traffic::TargetLoad LocalGate::load() const
 {
     traffic::TargetLoad load;
@@ -212,6 +217,7 @@
     const TimePoint now = std::chrono::steady_clock::now();
     run.m_running = true;
     run.m_startedAt = now;
+    ++m_active[run.m_call.m_route];
     m_timers.cancel(run.m_timer);
     run.m_handedDeadline = traffic::enterRun(m_lineage, number, run.m_deadline);
     run.m_timer = m_timers.add(run.m_deadline + AnswerMargin, [this, number] { timedOut(number); });
@@ -354,13 +360,16 @@
     m_runs.erase(found);
     m_timers.cancel(run.m_timer);
     traffic::leaveRun(m_lineage, number, run.m_handedDeadline);
+    const auto active = m_active.find(run.m_call.m_route);
+    if (--active->second == 0)
+        m_active.erase(active);
     const bool ran = std::holds_alternative<Answer>(result)
             || std::get<Failure>(result).m_reason == FailureReason::Timeout;
     const std::chrono::nanoseconds held = std::chrono::steady_clock::now() - run.m_startedAt;
     traffic::finishRun(m_gate, ran ? held : std::chrono::nanoseconds{0});
     if (Answer *answer = std::get_if<Answer>(&result)) {
         if (answer->m_status < static_cast<int>(http::status::bad_request))
-            traffic::recordRun(m_profile, run.m_call.m_route);
+            traffic::recordRun(m_profile, run.m_call.m_route, held);
         answer->m_load = load();
     } else {
         std::get<Failure>(result).m_load = load();
--- a/packages/relay/inbound/localgate.h
+++ b/packages/relay/inbound/localgate.h
@@ -62,6 +62,8 @@
 
     /** Counts a nested call of a run. */
     void recordNestedCall(const std::string &parentRoute, const std::string &route);
+    /** Counts a nested call whose run is not known. */
+    void recordUnassignedCall(const std::string &route);
 
     traffic::TargetLoad load() const;
     const traffic::CallProfile &profile() const { return m_profile; }
@@ -113,6 +115,7 @@
     traffic::Gate m_gate;
     traffic::Lineage m_lineage;
     traffic::CallProfile m_profile;
+    traffic::ActiveRuns m_active;
     overload::NameTable m_organisations;
     std::optional<traffic::InstanceAnnouncement> m_instance;
     bool m_usable = false;
