Admit call trees by the measured demand on each service's slots

Cause: the admission was an integral control on the use of the deepest service's slots. Work reaches that service 0.1 to 0.5 s after admission, and the control swung between admitting everything and nothing with a period of about 5 s. The organisation's priority also hid the route's, so print orders were shed like look-ups.

Change: nodes tell each other what callers ask of each service by importance (slots held on average, from the learned call graph and slot times). Every entry node divides the slots over that demand, the most important first, and corrects the estimate slowly by the measured use. The profile of calls is kept in the node's row, so that a fleet that starts anew need not learn it under load. Within an organisation's priority the route's priority decides.

Ruled out: a steeper proportional part (loop gain of 3.9 at a delay of 0.3 s).

--- a/packages/relay/control/noderegistry.cpp
+++ b/packages/relay/control/noderegistry.cpp
@@ -29,7 +29,7 @@
     write();
 }
 
-void NodeRegistry::update(std::vector<traffic::DepartedInstance> departed)
+void NodeRegistry::setDeparted(std::vector<traffic::DepartedInstance> departed)
 {
     m_departed = std::move(departed);
     // Until the table has been read the row may hold departures that this process does not know.
@@ -37,6 +37,13 @@
         write();
 }
 
+void NodeRegistry::setProfile(const traffic::CallProfile &profile)
+{
+    m_profile = profile;
+    if (m_hasRead)
+        write();
+}
+
 void NodeRegistry::write()
 {
     if (m_writing) {
@@ -46,27 +53,11 @@
     m_writing = true;
     m_dirty = false;
     if (!m_hasRead) {
-        // The first write must keep the departures of the row, so the row is read before it; the
-        // table is read again after it.
-        m_store.read(NodeTable, [this](bool succeeded, const std::vector<StoreRow> &rows) {
-            m_writing = false;
-            if (!succeeded) {
-                retry([this] { write(); });
-                return;
-            }
-            for (const StoreRow &row : rows) {
-                const std::optional<NodeRow> node = parseNodeRow(row);
-                if (node && node->m_record.m_node == m_mesh.self().m_node)
-                    m_onOwnRow(node->m_departed);
-                else if (node)
-                    m_mesh.learn(node->m_record);
-            }
-            m_hasRead = true;
-            write();
-        });
+        readBeforeFirstWrite();
         return;
     }
-    m_store.write(NodeTable, toStoreRow({m_mesh.self(), m_departed}), [this](bool succeeded) {
+    const NodeRow row{m_mesh.self(), m_departed, m_profile};
+    m_store.write(NodeTable, toStoreRow(row), [this](bool succeeded) {
         m_writing = false;
         if (!succeeded) {
             retry([this] { write(); });
@@ -75,11 +66,26 @@
         m_failures = 0;
         if (m_dirty)
             write();
-        else
+        else if (!std::exchange(m_hasReadAgain, true))
             read();
     });
 }
 
+void NodeRegistry::readBeforeFirstWrite()
+{
+    m_store.read(NodeTable, [this](bool succeeded, const std::vector<StoreRow> &rows) {
+        m_writing = false;
+        if (!succeeded) {
+            retry([this] { write(); });
+            return;
+        }
+        for (const StoreRow &row : rows)
+            learn(row);
+        m_hasRead = true;
+        write();
+    });
+}
+
 void NodeRegistry::read()
 {
     m_store.read(NodeTable, [this](bool succeeded, const std::vector<StoreRow> &rows) {
@@ -87,18 +93,30 @@
             retry([this] { read(); });
             return;
         }
-        for (const StoreRow &row : rows) {
-            const std::optional<NodeRow> node = parseNodeRow(row);
-            if (node) {
-                m_mesh.learn(node->m_record);
-            } else if (m_log.allows(LogTopic::State, std::chrono::steady_clock::now())) {
-                m_log.write(LogTopic::State, adapters::LogLevel::Warn,
-                            {{"event", "node-row-unreadable"}, {"key", row.m_key}});
-            }
-        }
+        for (const StoreRow &row : rows)
+            learn(row);
     });
 }
 
+void NodeRegistry::learn(const StoreRow &row)
+{
+    const std::optional<NodeRow> node = parseNodeRow(row);
+    if (!node) {
+        if (m_log.allows(LogTopic::State, std::chrono::steady_clock::now()))
+            m_log.write(LogTopic::State, adapters::LogLevel::Warn,
+                        {{"event", "node-row-unreadable"}, {"key", row.m_key}});
+        return;
+    }
+    if (node->m_record.m_node != m_mesh.self().m_node) {
+        m_mesh.learn(node->m_record);
+        m_mesh.learnProfile(node->m_record.m_node, node->m_profile);
+    } else if (!m_hasRead) {
+        m_departed = node->m_departed;
+        m_profile = node->m_profile;
+        m_onOwnRow(*node);
+    }
+}
+
 void NodeRegistry::retry(const std::function<void()> &action)
 {
     const Milliseconds longest =
--- a/packages/relay/control/noderegistry.h
+++ b/packages/relay/control/noderegistry.h
@@ -24,18 +24,22 @@
     /** Reads the table and writes the row; repeated until both have succeeded. */
     void start();
 
-    /** Writes the row again because what it holds has changed. */
-    void update(std::vector<traffic::DepartedInstance> departed);
+    /** Write the row again because what it holds has changed. @{ */
+    void setDeparted(std::vector<traffic::DepartedInstance> departed);
+    void setProfile(const traffic::CallProfile &profile);
+    /** @} */
 
     /** @returns whether the table has been read since the start. */
     bool hasRead() const { return m_hasRead; }
 
-    /** Gets the departures that this node's row held before the start. */
-    std::function<void(const std::vector<traffic::DepartedInstance> &)> m_onOwnRow;
+    /** Gets what this node's row held before the start. */
+    std::function<void(const NodeRow &)> m_onOwnRow;
 
 private:
     void write();
+    void readBeforeFirstWrite();
     void read();
+    void learn(const StoreRow &row);
     void retry(const std::function<void()> &action);
 
     SharedStore &m_store;
@@ -44,7 +48,10 @@
     BoundedLog &m_log;
     std::mt19937_64 &m_random;
     std::vector<traffic::DepartedInstance> m_departed;
+    traffic::CallProfile m_profile;
     bool m_hasRead = false;
+    /** The table has been read again after the first write. */
+    bool m_hasReadAgain = false;
     bool m_writing = false;
     bool m_dirty = false;
     int m_failures = 0;
--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -86,7 +86,7 @@
         status = 404;
         return false;
     }
-    request.m_priority = request.m_route->m_priority;
+    request.m_priority = policy.importance(*request.m_route, nullptr);
     if (!policy.policy().m_requiresKeys || request.m_route->m_open)
         return true;
     const traffic::OrganisationPolicy *organisation =
@@ -97,7 +97,7 @@
         return false;
     }
     request.m_organisation = organisation->m_name;
-    request.m_priority = organisation->m_priority.value_or(request.m_priority);
+    request.m_priority = policy.importance(*request.m_route, organisation);
     return true;
 }
 
@@ -177,11 +177,10 @@
 {
     request.m_service = traffic::chooseSplitPart(m_services.m_splits, *request.m_route);
     if (!request.m_nested) {
-        std::vector<std::string> services = neededServices(*request.m_policy, *request.m_route);
-        services.push_back(request.m_service);
-        const double draw = std::uniform_real_distribution<double>()(m_services.m_random);
-        const traffic::TreeDecision decision =
-                traffic::admitTree(m_services.m_pressure, services, request.m_priority, draw);
+        const traffic::TreeDecision decision = m_services.m_loads.decide(
+                request.m_route->m_name,
+                m_services.m_loads.costsOf(*request.m_policy, *request.m_route, request.m_service),
+                request.m_priority, std::chrono::steady_clock::now());
         request.m_admittedShare = decision.m_share;
         if (!decision.m_admitted) {
             const Milliseconds delay = traffic::retryAfter(
@@ -194,23 +193,4 @@
     std::make_shared<EntryCall>(m_services, session, std::move(request))->start();
 }
 
-const std::vector<std::string> &EntryHandler::neededServices(const traffic::PolicyIndex &policy,
-                                                             const traffic::RoutePolicy &route)
-{
-    const auto [entry, isNew] = m_neededServices.try_emplace(route.m_name);
-    if (!isNew)
-        return entry->second;
-    for (const auto &[name, runs] : traffic::expectedRuns(m_services.m_callGraph, route.m_name)) {
-        const traffic::RoutePolicy *needed =
-                name == route.m_name ? nullptr : policy.routeNamed(name);
-        if (needed == nullptr)
-            continue;
-        for (const traffic::SplitPart &part : needed->m_parts) {
-            if (part.m_weight > 0)
-                entry->second.push_back(part.m_service);
-        }
-    }
-    return entry->second;
-}
-
 } // namespace chervilmount::relay
--- a/packages/relay/entry/entryhandler.h
+++ b/packages/relay/entry/entryhandler.h
@@ -5,7 +5,6 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <vector>
 
 namespace chervilmount::relay {
 
@@ -18,9 +17,6 @@
 
     void handle(const std::shared_ptr<HttpSession> &session, HttpRequest request);
 
-    /** Forgets what was derived from the policy and the call graph. */
-    void clearDerived() { m_neededServices.clear(); }
-
     /** Tokens have arrived: requests that wait for them are decided again. */
     void tokensArrived();
 
@@ -43,12 +39,8 @@
     void askForTokens(const std::string &organisation, TimePoint now);
     void refuseOverAllotment(const std::shared_ptr<HttpSession> &session, EntryRequest request);
     void admit(const std::shared_ptr<HttpSession> &session, EntryRequest request);
-    const std::vector<std::string> &neededServices(const traffic::PolicyIndex &policy,
-                                                   const traffic::RoutePolicy &route);
 
     EntryServices &m_services;
-    /** Services that nested calls of a route need, by route. */
-    std::unordered_map<std::string, std::vector<std::string>> m_neededServices;
     std::unordered_map<std::uint64_t, WaitingForTokens> m_waiting;
     std::uint64_t m_lastWaiting = 0;
 };
--- a/packages/relay/entry/entryservices.h
+++ b/packages/relay/entry/entryservices.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/control/loadexchange.h"
 #include "relay/control/policykeeper.h"
 #include "relay/inbound/localgate.h"
 #include "relay/link/mesh.h"
@@ -8,8 +9,6 @@
 #include "relay/telemetry/counters.h"
 #include "relay/timers/timerqueue.h"
 #include "traffic/allotment/rateshare.h"
-#include "traffic/pressure/pressure.h"
-#include "traffic/profile/callprofile.h"
 #include "traffic/retry/repeatbudget.h"
 #include "traffic/split/splitchooser.h"
 
@@ -28,10 +27,9 @@
     Counters &m_counters;
     BoundedLog &m_log;
     traffic::RateShares &m_rates;
-    traffic::Pressure &m_pressure;
+    LoadExchange &m_loads;
     traffic::RepeatBudget &m_repeats;
     traffic::SplitStates &m_splits;
-    traffic::CallGraph &m_callGraph;
     std::mt19937_64 &m_random;
     /** The process is being stopped: responses end their connections. */
     bool m_stopping = false;
--- a/packages/relay/frames/framecodec.cpp
+++ b/packages/relay/frames/framecodec.cpp
@@ -2,7 +2,7 @@
 
 #include "relay.pb.h"
 
-#include <array>
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -79,6 +79,17 @@
     return fields;
 }
 
+void write(const std::string &service, const traffic::WorkByLevel &levels,
+           wire::ServiceDemand &message)
+{
+    message.set_service(service);
+    std::size_t used = levels.size();
+    while (used > 0 && levels[used - 1] <= 0)
+        --used;
+    for (std::size_t level = 0; level < used; ++level)
+        message.add_work(static_cast<float>(levels[level]));
+}
+
 void write(const Hello &hello, wire::Frame &frame)
 {
     wire::Hello &message = *frame.mutable_hello();
@@ -93,17 +104,19 @@
         write(*status.m_record, *message.mutable_record());
     write(status.m_load, *message.mutable_load());
     message.set_policy_version(status.m_policyVersion);
-    for (const auto &[route, edges] : status.m_learned) {
-        wire::RouteCalls &calls = *message.add_learned();
-        calls.set_route(route);
-        for (const auto &[callee, count] : edges) {
-            wire::CalledRoute &called = *calls.add_calls();
+    for (const auto &[route, observed] : status.m_profile) {
+        wire::RouteProfile &profile = *message.add_profile();
+        profile.set_route(route);
+        profile.set_runs(static_cast<float>(observed.m_runs));
+        profile.set_active_seconds(static_cast<float>(observed.m_activeSeconds));
+        for (const auto &[callee, calls] : observed.m_calls) {
+            wire::CalledRoute &called = *profile.add_calls();
             called.set_route(callee);
-            called.set_calls(static_cast<float>(count));
+            called.set_calls(static_cast<float>(calls));
         }
     }
-    for (const NodeRecord &record : status.m_others)
-        write(record, *message.add_others());
+    for (const auto &[service, levels] : status.m_demand)
+        write(service, levels, *message.add_demand());
 }
 
 void write(const Call &call, wire::Frame &frame)
@@ -185,13 +198,19 @@
         status.m_record = read(message.record());
     status.m_load = read(message.load());
     status.m_policyVersion = message.policy_version();
-    for (const wire::RouteCalls &calls : message.learned()) {
-        traffic::CallEdges &edges = status.m_learned[calls.route()];
-        for (const wire::CalledRoute &called : calls.calls())
-            edges[called.route()] = called.calls();
+    for (const wire::RouteProfile &profile : message.profile()) {
+        traffic::RouteProfile &observed = status.m_profile[profile.route()];
+        observed.m_runs = profile.runs();
+        observed.m_activeSeconds = profile.active_seconds();
+        for (const wire::CalledRoute &called : profile.calls())
+            observed.m_calls[called.route()] = called.calls();
+    }
+    for (const wire::ServiceDemand &demand : message.demand()) {
+        traffic::WorkByLevel &levels = status.m_demand.try_emplace(demand.service()).first->second;
+        const std::size_t sent = static_cast<std::size_t>(demand.work_size());
+        for (std::size_t level = 0; level < std::min(sent, levels.size()); ++level)
+            levels[level] = demand.work(static_cast<int>(level));
     }
-    for (const wire::NodeRecord &record : message.others())
-        status.m_others.push_back(read(record));
     return status;
 }
 
--- a/packages/relay/frames/frames.h
+++ b/packages/relay/frames/frames.h
@@ -2,6 +2,7 @@
 
 #include "traffic/placement/placement.h"
 #include "traffic/profile/callprofile.h"
+#include "traffic/treeadmission/demand.h"
 
 #include <chrono>
 #include <cstdint>
@@ -55,10 +56,10 @@
     std::optional<NodeRecord> m_record;
     traffic::TargetLoad m_load;
     std::uint64_t m_policyVersion = 0;
-    /** Calls that runs beside the sender make, if they have been learned anew. */
-    traffic::CallGraph m_learned;
-    /** Other nodes that the sender has learned of. */
-    std::vector<NodeRecord> m_others;
+    /** What runs beside the sender do; sent less often, otherwise empty. */
+    traffic::CallProfile m_profile;
+    /** What callers ask for: of the sender, or of its whole region if it is sent to another one. */
+    traffic::Demand m_demand;
 };
 
 /** Asks the node beside a backend server to run a request there. */
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -157,6 +157,12 @@
     traffic::recordUnassignedCall(m_profile, m_active, route);
 }
 
+void LocalGate::restoreProfile(const traffic::CallProfile &profile)
+{
+    if (m_profile.empty())
+        m_profile = profile;
+}
+
 traffic::TargetLoad LocalGate::load() const
 {
     traffic::TargetLoad load;
--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -20,6 +20,9 @@
 constexpr Milliseconds ShortestSilence{1000};
 constexpr Milliseconds LongestSilence{3500};
 
+/** Profiles change slowly and are sent with every fifth status. */
+constexpr int StatusesPerProfile = 5;
+
 constexpr Milliseconds ConnectTimeout{1000};
 constexpr Milliseconds FirstRedialDelay{100};
 constexpr Milliseconds LongestRedialDelay{1000};
@@ -68,6 +71,13 @@
     m_handlers.m_onMembersChanged();
 }
 
+void Mesh::learnProfile(const std::string &node, const traffic::CallProfile &profile)
+{
+    Peer *peer = find(node);
+    if (peer != nullptr && peer->m_profile.empty())
+        peer->m_profile = profile;
+}
+
 void Mesh::updateSelf(const std::function<void(NodeRecord &)> &change)
 {
     change(m_self);
@@ -269,20 +279,14 @@
 {
     if (!session.m_greeted)
         return;
-    Status status;
+    const bool withProfile = now >= session.m_nextProfile;
+    Status status = m_handlers.m_status(session.m_record, withProfile);
     if (!std::exchange(session.m_reportedSelf, true))
         status.m_record = m_self;
-    status.m_load = m_handlers.m_load();
-    status.m_policyVersion = m_handlers.m_policyVersion();
-    traffic::CallGraph learned = m_handlers.m_learned();
-    std::size_t edges = 0;
-    for (const auto &[route, callees] : learned)
-        edges += 1 + callees.size();
-    if (edges != session.m_reportedEdges) {
-        session.m_reportedEdges = edges;
-        status.m_learned = std::move(learned);
-    }
-    session.m_nextStatus = now + statusInterval(session.m_record);
+    const Milliseconds interval = statusInterval(session.m_record);
+    if (withProfile)
+        session.m_nextProfile = now + interval * StatusesPerProfile;
+    session.m_nextStatus = now + interval;
     session.m_link->send(status);
 }
 
@@ -352,7 +356,7 @@
         m_handlers.m_onLink(peer.m_record, true);
         m_handlers.m_onMembersChanged();
         m_handlers.m_onPolicyVersion(peer.m_record.m_node, hello->m_policyVersion);
-    } else if (const Status *status = std::get_if<Status>(&frame)) {
+    } else if (Status *status = std::get_if<Status>(&frame)) {
         if (status->m_record) {
             peer.m_record = *status->m_record;
             place(peer);
@@ -360,10 +364,9 @@
         }
         peer.m_target.m_load = status->m_load;
         peer.m_target.m_sentSinceReport = 0;
-        if (!status->m_learned.empty())
-            m_handlers.m_onLearned(status->m_learned);
-        for (const NodeRecord &other : status->m_others)
-            learn(other);
+        if (!status->m_profile.empty())
+            peer.m_profile = std::move(status->m_profile);
+        peer.m_demand = std::move(status->m_demand);
         m_handlers.m_onPolicyVersion(peer.m_record.m_node, status->m_policyVersion);
     } else if (Answer *answer = std::get_if<Answer>(&frame)) {
         peer.m_target.m_load = answer->m_load;
--- a/packages/relay/link/mesh.h
+++ b/packages/relay/link/mesh.h
@@ -25,11 +25,9 @@
     /** Runs a call beside this node; @returns the number for m_cancel. */
     std::function<std::uint64_t(Call, CallResponder)> m_run;
     std::function<void(std::uint64_t)> m_cancel;
-    /** @returns the load that statuses report. */
-    std::function<traffic::TargetLoad()> m_load;
-    /** @returns the call graph that this node has learned. */
-    std::function<traffic::CallGraph()> m_learned;
-    std::function<void(const traffic::CallGraph &)> m_onLearned;
+    /** @returns the status for another node; the mesh adds this node's record if it has changed.
+     */
+    std::function<Status(const NodeRecord &receiver, bool withProfile)> m_status;
     /** @returns the version of the policy in force here. */
     std::function<std::uint64_t()> m_policyVersion;
     /** @returns the policy in force here as it was received. */
@@ -58,6 +56,10 @@
     std::chrono::steady_clock::time_point m_nextDial;
     std::chrono::steady_clock::time_point m_lostAt;
     std::chrono::milliseconds m_redialDelay{0};
+    /** What runs beside the node do, as it last reported. */
+    traffic::CallProfile m_profile;
+    /** Callers' demand at the node, or in its region if that is another one. */
+    traffic::Demand m_demand;
     /** Calls that wait for an answer. */
     std::unordered_map<std::uint64_t, CallResponder> m_calls;
 };
@@ -83,9 +85,12 @@
     Mesh(const Mesh &) = delete;
     Mesh &operator=(const Mesh &) = delete;
 
-    /** Takes a record of another node from the store or from a third node. */
+    /** Takes a record of another node. */
     void learn(const NodeRecord &record);
 
+    /** Takes what runs beside another node were seen to do before this node started. */
+    void learnProfile(const std::string &node, const traffic::CallProfile &profile);
+
     /** Changes this node's record and tells the others at once. */
     void updateSelf(const std::function<void(NodeRecord &)> &change);
 
@@ -111,6 +116,9 @@
     /** Asks one of the linked nodes for tokens. */
     void requestTokens(const TokenRequest &request, std::uint64_t draw);
 
+    /** @returns whether the node has been heard lately. */
+    bool isFresh(const Peer &peer, TimePoint now) const;
+
     /** @returns how many other nodes are known. */
     std::size_t knownPeers() const { return m_peers.size(); }
     /** @returns how many other nodes are linked. */
@@ -127,8 +135,8 @@
         NodeRecord m_record;
         bool m_greeted = false;
         bool m_reportedSelf = false;
-        std::size_t m_reportedEdges = 0;
         TimePoint m_nextStatus;
+        TimePoint m_nextProfile;
         /** Numbers of the runs here by the numbers of the calls. */
         std::unordered_map<std::uint64_t, std::uint64_t> m_runs;
     };
@@ -144,7 +152,6 @@
     void receive(Peer &peer, Frame frame);
     void answered(Peer &peer, std::uint64_t id, CallResult result);
     void loseLink(Peer &peer, TimePoint now);
-    bool isFresh(const Peer &peer, TimePoint now) const;
     std::chrono::milliseconds statusInterval(const NodeRecord &other) const;
     Peer *find(const std::string &node);
     void place(Peer &peer) const;
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -11,6 +11,11 @@
 
 constexpr Milliseconds TickInterval{100};
 constexpr Milliseconds TimeoutCheckInterval{500};
+constexpr Milliseconds SheddingLogInterval{1000};
+/** The profile is written when this many runs have been seen, and seldom afterwards. @{ */
+constexpr double FirstRecordedRuns = 60.0;
+constexpr std::chrono::seconds ProfileRecordInterval{30};
+/** @} */
 /** Time in which the store's own feed normally delivers a version that another node has. */
 constexpr Milliseconds PolicyFromPeerDelay{300};
 /** A node without any link to others for this long tells callers to use another one. */
@@ -18,8 +23,6 @@
 /** Nodes that have been unreachable for longer no longer share the organisations' rates. */
 constexpr std::chrono::seconds ShareKeptFor{60};
 constexpr Milliseconds AnnouncementIdleTimeout{60000};
-/** Added to the use of the other region's backend servers: calls go there reluctantly. */
-constexpr double OtherRegionUse = 0.1;
 
 NodeRecord ownRecord(const RelaySettings &settings, Milliseconds startedAt)
 {
@@ -55,9 +58,10 @@
     , m_gate(context, m_timers, m_settings, m_counters, m_log)
     , m_backend(std::move(parsers.m_announcement), m_gate, m_log)
     , m_mesh(context, m_timers, ownRecord(m_settings, startedAt), meshHandlers())
+    , m_loads(m_settings.m_treeAdmission, m_gate)
     , m_registry(store, m_mesh, m_timers, m_log, m_random)
     , m_entryServices{m_settings, m_timers,   m_policy, m_gate,   m_mesh,      m_counters, m_log,
-                      m_rates,    m_pressure, m_repeats, m_splits, m_callGraph, m_random}
+                      m_rates,    m_loads,  m_repeats, m_splits, m_random}
     , m_entry(m_entryServices)
     , m_platformLimits(platformLimits())
     , m_callers(context, m_settings.m_callerAddress, m_callerLimits,
@@ -80,17 +84,17 @@
                 [this](const std::shared_ptr<HttpSession> &session, const HttpRequest &request) {
                     handleMetrics(session, request);
                 });
-    m_pressure.m_settings = m_settings.m_pressure;
     m_rates.m_settings = m_settings.m_rates;
     m_repeats.m_settings = m_settings.m_repeats;
     m_linkedAt = std::chrono::steady_clock::now();
     m_policy.m_onChanged = [this] { policyChanged(); };
     m_backend.m_onChanged = [this] { backendChanged(); };
     m_backend.m_onDeparted = [this] {
-        m_registry.update(traffic::departures(m_backend.instances()));
+        m_registry.setDeparted(traffic::departures(m_backend.instances()));
     };
-    m_registry.m_onOwnRow = [this](const std::vector<traffic::DepartedInstance> &departed) {
-        m_backend.restore(departed);
+    m_registry.m_onOwnRow = [this](const NodeRow &row) {
+        m_backend.restore(row.m_departed);
+        m_gate.restoreProfile(row.m_profile);
     };
     m_store.m_onReachable = [this](bool reachable) {
         logState(reachable ? "store-reachable" : "store-lost", {});
@@ -137,8 +141,9 @@
     gauges.m_waiting = static_cast<std::size_t>(load.m_waiting);
     gauges.m_backendConnections = m_gate.connectionsMade();
     gauges.m_ready = isReady();
-    for (const auto &[service, state] : m_pressure.m_services)
-        gauges.m_shed.emplace(service, state.m_shed);
+    for (const auto &[service, state] : m_loads.admission().m_services)
+        gauges.m_admitted.emplace(service,
+                                  std::vector<double>(state.m_shares.begin(), state.m_shares.end()));
     Counters counters = m_counters;
     counters.m_storeCalls = m_store.m_calls;
     counters.m_storeFailures = m_store.m_failures;
@@ -157,11 +162,15 @@
         return m_gate.run(std::move(call), std::move(responder));
     };
     handlers.m_cancel = [this](std::uint64_t run) { m_gate.cancel(run); };
-    handlers.m_load = [this] { return m_gate.load(); };
-    handlers.m_learned = [this] { return learnedCalls(); };
-    handlers.m_onLearned = [this](const traffic::CallGraph &learned) {
-        traffic::mergeCalls(m_callGraph, learned);
-        m_entry.clearDerived();
+    handlers.m_status = [this](const NodeRecord &receiver, bool withProfile) {
+        Status status;
+        status.m_load = m_gate.load();
+        status.m_policyVersion = m_policy.version();
+        status.m_demand =
+                m_loads.demandFor(receiver, m_mesh, std::chrono::steady_clock::now());
+        if (withProfile)
+            status.m_profile = m_gate.profile();
+        return status;
     };
     handlers.m_policyVersion = [this] { return m_policy.version(); };
     handlers.m_policyDocument = [this] { return m_policy.document(); };
@@ -220,7 +229,6 @@
     for (const traffic::OrganisationPolicy &organisation : policy.m_organisations)
         traffic::setRate(m_rates, organisation.m_name, organisation.m_rate, organisation.m_burst,
                          now);
-    m_entry.clearDerived();
 }
 
 void RelayNode::policyAnnounced(const std::string &node, std::uint64_t version)
@@ -255,7 +263,8 @@
     m_mesh.tick(now);
     if (m_mesh.linkedPeers() > 0)
         m_linkedAt = now;
-    updatePressures(now);
+    m_loads.update(m_mesh, m_backend.instances(), now);
+    recordProfile(now);
     std::size_t sharing = 1;
     for (const auto &[node, peer] : m_mesh.peers()) {
         if (peer->m_link || now - peer->m_lostAt < ShareKeptFor
@@ -272,6 +281,10 @@
             m_metricsServer->checkTimeouts(now);
         logReadiness(now);
     }
+    if (now >= m_nextSheddingLog) {
+        m_nextSheddingLog = now + SheddingLogInterval;
+        logShedding(now);
+    }
     if (m_policy.current() && m_registry.hasRead() && !m_backend.instances().m_current) {
         const traffic::ServicePolicy *service =
                 m_policy.current()->serviceNamed(m_settings.m_service);
@@ -282,40 +295,18 @@
     m_timers.add(now + TickInterval, [this] { tick(); });
 }
 
-void RelayNode::updatePressures(TimePoint now)
+void RelayNode::recordProfile(TimePoint now)
 {
-    struct RegionLoads
-    {
-        traffic::ServiceLoad m_own;
-        traffic::ServiceLoad m_other;
-    };
-    std::unordered_map<std::string, RegionLoads> loads;
-    const auto add = [](traffic::ServiceLoad &sum, const traffic::TargetLoad &load) {
-        sum.m_slots += load.m_limit;
-        sum.m_runs += load.m_running + load.m_waiting;
-    };
-    for (const auto &[node, peer] : m_mesh.peers()) {
-        if (!peer->m_link || !peer->m_record.m_usable || peer->m_record.m_leaving)
-            continue;
-        RegionLoads &service = loads[peer->m_record.m_service];
-        add(peer->m_target.m_place == routing::Place::OtherRegion ? service.m_other
-                                                                  : service.m_own,
-            peer->m_target.m_load);
-    }
-    const traffic::InstanceRegister &instances = m_backend.instances();
-    if (instances.m_usable)
-        add(loads[instances.m_current->m_service].m_own, m_gate.load());
-    for (const auto &[service, regions] : loads) {
-        traffic::ServiceLoad load = regions.m_own;
-        // The other region takes calls that find no room here.
-        traffic::ServiceLoad other = regions.m_other;
-        other.m_runs += other.m_slots * OtherRegionUse;
-        if (load.m_slots <= 0
-            || (other.m_slots > 0
-                && other.m_runs / other.m_slots < load.m_runs / load.m_slots))
-            load = other;
-        traffic::updatePressure(m_pressure, service, load, now);
-    }
+    if (now < m_nextProfileRecord)
+        return;
+    double runs = 0;
+    for (const auto &[route, observed] : m_gate.profile())
+        runs += observed.m_runs;
+    if (runs < FirstRecordedRuns || runs == m_recordedRuns)
+        return;
+    m_recordedRuns = runs;
+    m_nextProfileRecord = now + ProfileRecordInterval;
+    m_registry.setProfile(m_gate.profile());
 }
 
 void RelayNode::checkStopped(TimePoint now)
@@ -348,6 +339,24 @@
                  {"peers_known", std::to_string(m_mesh.knownPeers())}});
 }
 
+void RelayNode::logShedding(TimePoint now)
+{
+    for (const auto &[service, state] : m_loads.admission().m_services) {
+        const double least = *std::min_element(state.m_shares.begin(), state.m_shares.end());
+        if (least >= 1.0 || !m_log.allows(LogTopic::State, now))
+            continue;
+        std::string shares;
+        for (const double share : state.m_shares)
+            shares += (shares.empty() ? "" : ",") + std::to_string(share).substr(0, 4);
+        m_log.write(LogTopic::State, adapters::LogLevel::Info,
+                    {{"event", "shedding"},
+                     {"service", service},
+                     {"use", std::to_string(state.m_use)},
+                     {"correction", std::to_string(state.m_correction)},
+                     {"admitted", shares}});
+    }
+}
+
 void RelayNode::logState(const std::string &event, std::vector<adapters::LogField> fields)
 {
     if (!m_log.allows(LogTopic::State, std::chrono::steady_clock::now()))
@@ -356,9 +365,4 @@
     m_log.write(LogTopic::State, adapters::LogLevel::Info, fields);
 }
 
-traffic::CallGraph RelayNode::learnedCalls() const
-{
-    return traffic::learnedCalls(m_gate.profile());
-}
-
 } // namespace chervilmount::relay
--- a/packages/relay/runtime/relaynode.h
+++ b/packages/relay/runtime/relaynode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/control/backendwatch.h"
+#include "relay/control/loadexchange.h"
 #include "relay/control/noderegistry.h"
 #include "relay/control/policykeeper.h"
 #include "relay/entry/entryhandler.h"
@@ -62,11 +63,11 @@
     void policyAnnounced(const std::string &node, std::uint64_t version);
     void backendChanged();
     void tick();
-    void updatePressures(TimePoint now);
     void checkStopped(TimePoint now);
     void logReadiness(TimePoint now);
+    void logShedding(TimePoint now);
+    void recordProfile(TimePoint now);
     void logState(const std::string &event, std::vector<adapters::LogField> fields);
-    traffic::CallGraph learnedCalls() const;
 
     RelaySettings m_settings;
     SharedStore &m_store;
@@ -78,12 +79,11 @@
     LocalGate m_gate;
     BackendWatch m_backend;
     Mesh m_mesh;
+    LoadExchange m_loads;
     NodeRegistry m_registry;
     traffic::RateShares m_rates;
-    traffic::Pressure m_pressure;
     traffic::RepeatBudget m_repeats;
     traffic::SplitStates m_splits;
-    traffic::CallGraph m_callGraph;
     EntryServices m_entryServices;
     EntryHandler m_entry;
     /** Limits of the listeners that serve the platform. */
@@ -98,6 +98,10 @@
     TimePoint m_linkedAt;
     TimePoint m_stopRequestedAt;
     TimePoint m_nextTimeoutCheck;
+    TimePoint m_nextSheddingLog;
+    TimePoint m_nextProfileRecord;
+    /** Runs that the recorded profile was made of. */
+    double m_recordedRuns = 0.0;
     bool m_wasReady = false;
     bool m_stopped = false;
 };
--- a/packages/relay/runtime/relaysettings.h
+++ b/packages/relay/runtime/relaysettings.h
@@ -4,8 +4,8 @@
 #include "traffic/allotment/rateshare.h"
 #include "traffic/gate/gate.h"
 #include "traffic/placement/placement.h"
-#include "traffic/pressure/pressure.h"
 #include "traffic/retry/repeatbudget.h"
+#include "traffic/treeadmission/treeadmission.h"
 
 #include <chrono>
 #include <cstddef>
@@ -74,7 +74,7 @@
     BackendPoolSettings m_backendPool;
     traffic::GateSettings m_gate;
     traffic::PlacementSettings m_placement;
-    traffic::PressureSettings m_pressure;
+    traffic::TreeAdmissionSettings m_treeAdmission;
     traffic::RepeatBudgetSettings m_repeats;
     traffic::RateShareSettings m_rates;
     StopSettings m_stop;
--- a/packages/relay/store/noderow.cpp
+++ b/packages/relay/store/noderow.cpp
@@ -37,6 +37,51 @@
     return traffic::DepartedInstance{std::string(*id), std::chrono::milliseconds(*startedAt)};
 }
 
+std::optional<double> numberOf(const json::object &object, const char *name)
+{
+    const json::value *value = object.if_contains(name);
+    if (value == nullptr || !value->is_number())
+        return std::nullopt;
+    return value->to_number<double>();
+}
+
+json::object toJson(const traffic::CallProfile &profile)
+{
+    json::object result;
+    for (const auto &[route, observed] : profile) {
+        json::object calls;
+        for (const auto &[callee, count] : observed.m_calls)
+            calls[callee] = count;
+        result[route] = json::object{{"runs", observed.m_runs},
+                                     {"activeSeconds", observed.m_activeSeconds},
+                                     {"calls", std::move(calls)}};
+    }
+    return result;
+}
+
+traffic::CallProfile parseProfile(const json::object &object)
+{
+    traffic::CallProfile profile;
+    for (const json::key_value_pair &entry : object) {
+        const json::object *route = entry.value().if_object();
+        const json::value *calls = route == nullptr ? nullptr : route->if_contains("calls");
+        if (calls == nullptr || !calls->is_object())
+            continue;
+        const std::optional<double> runs = numberOf(*route, "runs");
+        const std::optional<double> activeSeconds = numberOf(*route, "activeSeconds");
+        if (!runs || !activeSeconds)
+            continue;
+        traffic::RouteProfile &observed = profile[std::string(entry.key())];
+        observed.m_runs = *runs;
+        observed.m_activeSeconds = *activeSeconds;
+        for (const json::key_value_pair &call : calls->get_object()) {
+            if (call.value().is_number())
+                observed.m_calls[std::string(call.key())] = call.value().to_number<double>();
+        }
+    }
+    return profile;
+}
+
 } // namespace
 
 StoreRow toStoreRow(const NodeRow &row)
@@ -49,7 +94,8 @@
                              {"failureDomain", row.m_record.m_failureDomain},
                              {"region", row.m_record.m_region},
                              {"startedAtMilliseconds", row.m_record.m_startedAt.count()},
-                             {"departed", std::move(departed)}};
+                             {"departed", std::move(departed)},
+                             {"profile", toJson(row.m_profile)}};
     return {row.m_record.m_node, json::serialize(value)};
 }
 
@@ -79,6 +125,9 @@
                 result.m_departed.push_back(*instance);
         }
     }
+    if (const json::value *profile = object->if_contains("profile");
+        profile != nullptr && profile->is_object())
+        result.m_profile = parseProfile(profile->get_object());
     return result;
 }
 
--- a/packages/relay/store/noderow.h
+++ b/packages/relay/store/noderow.h
@@ -18,6 +18,9 @@
     NodeRecord m_record;
     /** Backend servers beside it that have said that they leave. */
     std::vector<traffic::DepartedInstance> m_departed;
+    /** What runs beside it were seen to do, so that a fleet that starts anew need not learn it
+     * under load. */
+    traffic::CallProfile m_profile;
 };
 
 /** @returns the row as it is stored. */
--- a/packages/relay/telemetry/counters.cpp
+++ b/packages/relay/telemetry/counters.cpp
@@ -54,10 +54,14 @@
           static_cast<double>(gauges.m_waiting));
     gauge("chervilmount_ready", "1 while the node answers that it is ready.",
           gauges.m_ready ? 1.0 : 0.0);
-    metrics.describe("chervilmount_shed_priorities", "gauge",
-                     "Priorities turned away, counted from the least important, by service needed.");
-    for (const auto &[service, shed] : gauges.m_shed)
-        metrics.set("chervilmount_shed_priorities", {{"service", service}}, shed);
+    metrics.describe("chervilmount_admitted_share", "gauge",
+                     "Part of the requests admitted, by service needed and importance.");
+    for (const auto &[service, shares] : gauges.m_admitted) {
+        for (std::size_t level = 0; level < shares.size(); ++level)
+            metrics.set("chervilmount_admitted_share",
+                        {{"service", service}, {"importance", std::to_string(level)}},
+                        shares[level]);
+    }
     std::string text = metrics.text();
     text += "# HELP chervilmount_request_seconds Time from a request's arrival to its response.\n"
             "# TYPE chervilmount_request_seconds histogram\n";
--- a/packages/relay/telemetry/counters.h
+++ b/packages/relay/telemetry/counters.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace chervilmount::relay {
 
@@ -60,8 +61,8 @@
     std::size_t m_waiting = 0;
     std::uint64_t m_backendConnections = 0;
     bool m_ready = false;
-    /** Priorities turned away, by service. */
-    std::map<std::string, double> m_shed;
+    /** Part of the requests that is admitted, by service needed and importance. */
+    std::map<std::string, std::vector<double>> m_admitted;
 };
 
 /** @returns the metrics in the text exposition format. */
--- a/packages/traffic/placement/placement.h
+++ b/packages/traffic/placement/placement.h
@@ -19,7 +19,7 @@
     /** Wait that is accepted to stay in the own failure domain, since bytes between them cost. */
     std::chrono::milliseconds m_domainPenalty{10};
     /** Wait that is accepted to stay in the own region, whose link is narrow and dear. */
-    std::chrono::milliseconds m_regionPenalty{150};
+    std::chrono::milliseconds m_regionPenalty{60};
 };
 
 /** Load of a backend server as its node last reported it. */
--- a/packages/traffic/policy/policyindex.cpp
+++ b/packages/traffic/policy/policyindex.cpp
@@ -43,6 +43,16 @@
         for (const std::string &key : organisation.m_keys)
             m_keys.emplace(key, &organisation);
     }
+    for (const RoutePolicy &route : m_policy.m_routes) {
+        // Calls between services are never shed, so their priorities take no level.
+        if (route.m_open && m_policy.m_requiresKeys)
+            continue;
+        m_priorities.push_back(priorities(route, nullptr));
+        for (const OrganisationPolicy &organisation : m_policy.m_organisations)
+            m_priorities.push_back(priorities(route, &organisation));
+    }
+    std::sort(m_priorities.begin(), m_priorities.end());
+    m_priorities.erase(std::unique(m_priorities.begin(), m_priorities.end()), m_priorities.end());
     for (const ServicePolicy &service : m_policy.m_services)
         m_serviceNames.emplace(service.m_name, &service);
 }
@@ -60,6 +70,22 @@
     return nullptr;
 }
 
+int PolicyIndex::importance(const RoutePolicy &route, const OrganisationPolicy *organisation) const
+{
+    const auto found = std::lower_bound(m_priorities.begin(), m_priorities.end(),
+                                        priorities(route, organisation));
+    return static_cast<int>(found - m_priorities.begin());
+}
+
+PolicyIndex::PriorityPair PolicyIndex::priorities(const RoutePolicy &route,
+                                                  const OrganisationPolicy *organisation)
+{
+    const int first = organisation == nullptr
+            ? route.m_priority
+            : organisation->m_priority.value_or(route.m_priority);
+    return {first, route.m_priority};
+}
+
 const RoutePolicy *PolicyIndex::routeNamed(std::string_view name) const
 {
     return findIn(m_routeNames, name);
--- a/packages/traffic/policy/policyindex.h
+++ b/packages/traffic/policy/policyindex.h
@@ -4,6 +4,7 @@
 #include "traffic/policy/trafficpolicy.h"
 
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace chervilmount::traffic {
@@ -30,6 +31,14 @@
      */
     const RoutePolicy *findRoute(std::string_view host, std::string_view target) const;
 
+    /**
+     * Importance of a request, as a dense number over all pairs in use: the organisation's priority
+     * decides first, then the route's.
+     * @param organisation nullptr for requests without a key.
+     * @returns 0 for the most important requests.
+     */
+    int importance(const RoutePolicy &route, const OrganisationPolicy *organisation) const;
+
     /** @returns the route of that name, or nullptr. */
     const RoutePolicy *routeNamed(std::string_view name) const;
 
@@ -43,7 +52,14 @@
     const ServicePolicy *serviceNamed(std::string_view name) const;
 
 private:
+    using PriorityPair = std::pair<int, int>;
+
+    static PriorityPair priorities(const RoutePolicy &route,
+                                   const OrganisationPolicy *organisation);
+
     TrafficPolicy m_policy;
+    /** Pairs of priorities in use, the most important first. */
+    std::vector<PriorityPair> m_priorities;
     /** Routes of each host in lower case, the longest prefix first. */
     model::StringMap<std::vector<const RoutePolicy *>> m_hosts;
     model::StringMap<const RoutePolicy *> m_routeNames;
--- a/packages/traffic/profile/callprofile.cpp
+++ b/packages/traffic/profile/callprofile.cpp
@@ -18,24 +18,35 @@
 constexpr double FewestCallsPerRun = 0.25;
 constexpr int DeepestCalls = 15;
 
-void addRuns(const CallGraph &graph, const std::string &route, double runs, int depth,
-             CallEdges &result)
+bool isObserved(const RouteProfile &route)
 {
-    result[route] += runs;
-    if (depth == 0)
+    return route.m_runs >= FewestRuns;
+}
+
+void addRuns(const CallProfile &profile, const std::string &route, double runs, int depth,
+             std::unordered_map<std::string, ExpectedRuns> &result)
+{
+    ExpectedRuns &expected = result[route];
+    expected.m_runs += runs;
+    const auto found = profile.find(route);
+    if (found == profile.end() || !isObserved(found->second))
         return;
-    const auto found = graph.find(route);
-    if (found == graph.end())
+    const RouteProfile &observed = found->second;
+    expected.m_slotSeconds += runs * observed.m_activeSeconds / observed.m_runs;
+    if (depth == 0)
         return;
-    for (const auto &[callee, calls] : found->second)
-        addRuns(graph, callee, runs * calls, depth - 1, result);
+    for (const auto &[callee, calls] : observed.m_calls) {
+        const double callsPerRun = calls / observed.m_runs;
+        if (callsPerRun >= FewestCallsPerRun)
+            addRuns(profile, callee, runs * callsPerRun, depth - 1, result);
+    }
 }
 
 } // namespace
 
 void recordNestedCall(CallProfile &profile, const std::string &parent, const std::string &route)
 {
-    profile.m_routes[parent].m_calls[route] += 1.0;
+    profile[parent].m_calls[route] += 1.0;
 }
 
 void recordUnassignedCall(CallProfile &profile, const ActiveRuns &active, const std::string &route)
@@ -43,7 +54,7 @@
     std::vector<std::pair<std::string, double>> weights;
     double sum = 0;
     for (const auto &[parent, runs] : active) {
-        const RouteCalls &calls = profile.m_routes[parent];
+        const RouteProfile &calls = profile[parent];
         const auto counted = calls.m_calls.find(route);
         const double count = counted == calls.m_calls.end() ? 0.0 : counted->second;
         const double weight =
@@ -54,12 +65,12 @@
     if (!(sum > 0))
         return;
     for (const auto &[parent, weight] : weights)
-        profile.m_routes[parent].m_calls[route] += weight / sum;
+        profile[parent].m_calls[route] += weight / sum;
 }
 
 void recordRun(CallProfile &profile, const std::string &route, std::chrono::nanoseconds lasted)
 {
-    RouteCalls &calls = profile.m_routes[route];
+    RouteProfile &calls = profile[route];
     calls.m_runs += 1.0;
     calls.m_activeSeconds += std::chrono::duration<double>(lasted).count();
     if (calls.m_runs < HalvingRuns)
@@ -70,32 +81,22 @@
         count /= 2;
 }
 
-CallGraph learnedCalls(const CallProfile &profile)
+void addProfile(CallProfile &sum, const CallProfile &other)
 {
-    CallGraph graph;
-    for (const auto &[route, calls] : profile.m_routes) {
-        if (calls.m_runs < FewestRuns)
-            continue;
-        CallEdges edges;
-        for (const auto &[callee, count] : calls.m_calls) {
-            if (count / calls.m_runs >= FewestCallsPerRun)
-                edges.emplace(callee, count / calls.m_runs);
-        }
-        graph.emplace(route, std::move(edges));
+    for (const auto &[route, observed] : other) {
+        RouteProfile &target = sum[route];
+        target.m_runs += observed.m_runs;
+        target.m_activeSeconds += observed.m_activeSeconds;
+        for (const auto &[callee, calls] : observed.m_calls)
+            target.m_calls[callee] += calls;
     }
-    return graph;
-}
-
-void mergeCalls(CallGraph &graph, const CallGraph &reported)
-{
-    for (const auto &[route, edges] : reported)
-        graph[route] = edges;
 }
 
-CallEdges expectedRuns(const CallGraph &graph, const std::string &route)
+std::unordered_map<std::string, ExpectedRuns> expectedRuns(const CallProfile &profile,
+                                                           const std::string &route)
 {
-    CallEdges result;
-    addRuns(graph, route, 1.0, DeepestCalls, result);
+    std::unordered_map<std::string, ExpectedRuns> result;
+    addRuns(profile, route, 1.0, DeepestCalls, result);
     return result;
 }
 
--- a/packages/traffic/profile/callprofile.h
+++ b/packages/traffic/profile/callprofile.h
@@ -6,22 +6,19 @@
 
 namespace chervilmount::traffic {
 
-/** Nested calls that runs of one route make, as the node beside the backend server saw them. */
-struct RouteCalls
+/** What runs of one route do, as the node beside the backend server sees them. */
+struct RouteProfile
 {
     /** Runs that have ended, older ones count less. */
     double m_runs = 0.0;
-    /** Time for which these runs lasted, in seconds. */
+    /** Time for which these runs held a slot, in seconds. */
     double m_activeSeconds = 0.0;
-    /** Nested calls by their route, older ones count less. */
+    /** Nested calls of these runs, by their route. */
     std::unordered_map<std::string, double> m_calls;
 };
 
-/** Learned calls of all routes at one node. */
-struct CallProfile
-{
-    std::unordered_map<std::string, RouteCalls> m_routes;
-};
+/** Profiles by route: what one node has observed, or the sum over nodes. */
+using CallProfile = std::unordered_map<std::string, RouteProfile>;
 
 /** Counts a nested call that a run of @p parent made on @p route. */
 void recordNestedCall(CallProfile &profile, const std::string &parent, const std::string &route);
@@ -41,22 +38,22 @@
 /** Counts the end of a run. @param lasted time for which it was at the backend server. */
 void recordRun(CallProfile &profile, const std::string &route, std::chrono::nanoseconds lasted);
 
-/** Average nested calls by route for one run; an edge list that nodes exchange. */
-using CallEdges = std::unordered_map<std::string, double>;
-
-/** Call edges of each route, from all nodes. */
-using CallGraph = std::unordered_map<std::string, CallEdges>;
-
-/** @returns the edges that enough runs have shown. */
-CallGraph learnedCalls(const CallProfile &profile);
+/** Adds what another node has observed. */
+void addProfile(CallProfile &sum, const CallProfile &other);
 
-/** Merges edges that another node reported; the newer report replaces the older. */
-void mergeCalls(CallGraph &graph, const CallGraph &reported);
+/** What one request of a route needs of another route's service. */
+struct ExpectedRuns
+{
+    double m_runs = 0.0;
+    /** Time for which they hold a slot, in seconds. */
+    double m_slotSeconds = 0.0;
+};
 
 /**
- * Routes that a run of one route needs, directly or through others, with the expected number of
- * runs for one request. The route itself counts once.
+ * @returns the routes that a request needs, directly or through nested calls, with the route
+ * itself. Routes that have hardly been observed have no slot time.
  */
-CallEdges expectedRuns(const CallGraph &graph, const std::string &route);
+std::unordered_map<std::string, ExpectedRuns> expectedRuns(const CallProfile &profile,
+                                                           const std::string &route);
 
 } // namespace chervilmount::traffic
--- a/packages/traffic/traffic.h
+++ b/packages/traffic/traffic.h
@@ -14,7 +14,7 @@
 #include "traffic/lineage/lineage.h"
 #include "traffic/placement/placement.h"
 #include "traffic/policy/policyindex.h"
-#include "traffic/pressure/pressure.h"
 #include "traffic/profile/callprofile.h"
 #include "traffic/retry/repeatbudget.h"
 #include "traffic/split/splitchooser.h"
+#include "traffic/treeadmission/treeadmission.h"
