Order importance by route, then organisation, and steady the tree admission

The learned costs had a memory of 400 runs (0.4 s for short runs) and counted the calls of failed runs but not the runs; the correction took a queue of short runs, served within 40 ms, for an overload.

Change: profiles have a memory of 10 s and count every run; the use is averaged over 0.5 s and its correction is slower; the route's priority decides before the organisation's; nested calls of the most important requests wait first; a rate share never refills the same time twice.

--- a/packages/relay/control/loadexchange.cpp
+++ b/packages/relay/control/loadexchange.cpp
@@ -90,6 +90,7 @@
     if (now < m_nextProfile)
         return;
     m_nextProfile = now + ProfileInterval;
+    m_gate.ageProfile(ProfileInterval);
     m_profile = m_gate.profile();
     for (const auto &[node, peer] : mesh.peers())
         traffic::addProfile(m_profile, peer->m_profile);
--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -122,6 +122,7 @@
     if (!request.m_policy->policy().m_requiresKeys || m_services.m_gate.activeRuns() == 0)
         return;
     request.m_nested = true;
+    request.m_priority = model::PriorityLevels - 1;
     m_services.m_gate.recordUnassignedCall(request.m_route->m_name);
 }
 
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -157,6 +157,11 @@
     traffic::recordUnassignedCall(m_profile, m_active, route);
 }
 
+void LocalGate::ageProfile(std::chrono::nanoseconds elapsed)
+{
+    traffic::ageProfile(m_profile, elapsed);
+}
+
 void LocalGate::restoreProfile(const traffic::CallProfile &profile)
 {
     if (m_profile.empty())
@@ -373,9 +378,10 @@
             || std::get<Failure>(result).m_reason == FailureReason::Timeout;
     const std::chrono::nanoseconds held = std::chrono::steady_clock::now() - run.m_startedAt;
     traffic::finishRun(m_gate, ran ? held : std::chrono::nanoseconds{0});
+    // Failed runs count as well: they have held the slot and made calls.
+    if (run.m_sent)
+        traffic::recordRun(m_profile, run.m_call.m_route, held);
     if (Answer *answer = std::get_if<Answer>(&result)) {
-        if (answer->m_status < static_cast<int>(http::status::bad_request))
-            traffic::recordRun(m_profile, run.m_call.m_route, held);
         answer->m_load = load();
     } else {
         std::get<Failure>(result).m_load = load();
--- a/packages/relay/inbound/localgate.h
+++ b/packages/relay/inbound/localgate.h
@@ -67,6 +67,8 @@
 
     traffic::TargetLoad load() const;
     const traffic::CallProfile &profile() const { return m_profile; }
+    /** Lets what was observed earlier count less; to be called about every second. */
+    void ageProfile(std::chrono::nanoseconds elapsed);
     /** Takes over a profile from before the start, unless there is a new one. */
     void restoreProfile(const traffic::CallProfile &profile);
     std::size_t activeRuns() const { return m_runs.size(); }
--- a/packages/traffic/allotment/rateshare.cpp
+++ b/packages/traffic/allotment/rateshare.cpp
@@ -17,7 +17,10 @@
 
 void refill(const RateShares &shares, RateShare &share, std::chrono::steady_clock::time_point now)
 {
-    const double elapsed = std::max(0.0, Seconds(now - share.m_refilledAt).count());
+    // A time before the last refill must not be counted a second time.
+    if (now <= share.m_refilledAt)
+        return;
+    const double elapsed = Seconds(now - share.m_refilledAt).count();
     share.m_refilledAt = now;
     share.m_demand *= std::exp(-elapsed / DemandSeconds);
     const double full = std::max(1.0, share.m_burst / shares.m_nodes);
--- a/packages/traffic/gate/gate.cpp
+++ b/packages/traffic/gate/gate.cpp
@@ -17,10 +17,13 @@
  * Runs differ in length, so a whole expected hold time would refuse too many. */
 constexpr double NeededHoldShare = 0.5;
 
-/** Nested calls go first: their callers hold slots of other backend servers. */
+/** Nested calls go first, since their callers hold slots of other backend servers; among them those
+ * of the most important requests. */
 int queueLevel(const ArrivingRun &run)
 {
-    return run.m_nested ? 0 : 1 + run.m_priority;
+    if (run.m_nested)
+        return run.m_priority == 0 ? 0 : 1;
+    return 2 + run.m_priority;
 }
 
 std::chrono::nanoseconds nanoseconds(double seconds)
--- a/packages/traffic/policy/policyindex.cpp
+++ b/packages/traffic/policy/policyindex.cpp
@@ -80,10 +80,10 @@
 PolicyIndex::PriorityPair PolicyIndex::priorities(const RoutePolicy &route,
                                                   const OrganisationPolicy *organisation)
 {
-    const int first = organisation == nullptr
+    const int second = organisation == nullptr
             ? route.m_priority
             : organisation->m_priority.value_or(route.m_priority);
-    return {first, route.m_priority};
+    return {route.m_priority, second};
 }
 
 const RoutePolicy *PolicyIndex::routeNamed(std::string_view name) const
--- a/packages/traffic/profile/callprofile.cpp
+++ b/packages/traffic/profile/callprofile.cpp
@@ -1,5 +1,6 @@
 #include "traffic/profile/callprofile.h"
 
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -7,9 +8,12 @@
 
 namespace {
 
-/** Runs after which the counts are halved, so that a changed call graph is learned soon. */
-constexpr double HalvingRuns = 400.0;
+/** Time constant at which observations lose weight. A memory of less than a second made the costs
+ * of call trees follow every short queue, and the admission swing with them. */
+constexpr double MemorySeconds = 10.0;
 constexpr double FewestRuns = 5.0;
+/** Runs that are remembered for good. */
+constexpr double KeptRuns = 50.0;
 /** Calls and time that a route is assumed to have shown before its first run; small, so that the
  * first observations count. */
 constexpr double PriorCalls = 0.2;
@@ -73,12 +77,21 @@
     RouteProfile &calls = profile[route];
     calls.m_runs += 1.0;
     calls.m_activeSeconds += std::chrono::duration<double>(lasted).count();
-    if (calls.m_runs < HalvingRuns)
-        return;
-    calls.m_runs /= 2;
-    calls.m_activeSeconds /= 2;
-    for (auto &[callee, count] : calls.m_calls)
-        count /= 2;
+}
+
+void ageProfile(CallProfile &profile, std::chrono::nanoseconds elapsed)
+{
+    const double factor =
+            std::exp(-std::chrono::duration<double>(elapsed).count() / MemorySeconds);
+    for (auto &[route, observed] : profile) {
+        // A few runs are kept, so that a route that is seldom used is not forgotten.
+        if (observed.m_runs * factor < KeptRuns)
+            continue;
+        observed.m_runs *= factor;
+        observed.m_activeSeconds *= factor;
+        for (auto &[callee, calls] : observed.m_calls)
+            calls *= factor;
+    }
 }
 
 void addProfile(CallProfile &sum, const CallProfile &other)
--- a/packages/traffic/profile/callprofile.h
+++ b/packages/traffic/profile/callprofile.h
@@ -38,6 +38,9 @@
 /** Counts the end of a run. @param lasted time for which it was at the backend server. */
 void recordRun(CallProfile &profile, const std::string &route, std::chrono::nanoseconds lasted);
 
+/** Lets what was observed earlier count less; to be called about every second. */
+void ageProfile(CallProfile &profile, std::chrono::nanoseconds elapsed);
+
 /** Adds what another node has observed. */
 void addProfile(CallProfile &sum, const CallProfile &other);
 
--- a/packages/traffic/treeadmission/treeadmission.cpp
+++ b/packages/traffic/treeadmission/treeadmission.cpp
@@ -12,6 +12,9 @@
 constexpr double LongestStepSeconds = 0.3;
 /** Time in which the correction returns to 1 while nothing is shed. */
 constexpr double CorrectionFadeSeconds = 10.0;
+constexpr double UseAveragingSeconds = 0.5;
+/** A queue of short runs makes the use large although it is served within moments. */
+constexpr double LargestCountedUse = 1.5;
 /** A small part of the least important requests is always tried, so that no kind starves. */
 constexpr double SmallestShare = 0.02;
 constexpr std::chrono::milliseconds ShortestRetryAfter{100};
@@ -54,11 +57,13 @@
         state.m_shares.fill(1.0);
         return;
     }
-    state.m_use = load.m_runs / load.m_slots;
+    const double use = load.m_runs / load.m_slots;
+    state.m_use += (use - state.m_use) * std::min(1.0, step / UseAveragingSeconds);
     double budget = load.m_slots * settings.m_target * state.m_correction;
     const bool sheds = sumOf(demand) > budget;
     state.m_correction += sheds
-            ? settings.m_correctionGain * (settings.m_target - state.m_use) * step
+            ? settings.m_correctionGain
+                    * (settings.m_target - std::min(state.m_use, LargestCountedUse)) * step
             : (1.0 - state.m_correction) * step / CorrectionFadeSeconds;
     state.m_correction =
             std::clamp(state.m_correction, settings.m_leastCorrection, settings.m_mostCorrection);
--- a/packages/traffic/treeadmission/treeadmission.h
+++ b/packages/traffic/treeadmission/treeadmission.h
@@ -16,15 +16,15 @@
 struct TreeAdmissionSettings
 {
     /** Part of a service's usable slots that admitted requests may ask for. */
-    double m_target = 0.95;
+    double m_target = 0.92;
     /** Rate at which the estimated cost is corrected while load is shed, per second. */
-    double m_correctionGain = 0.5;
+    double m_correctionGain = 0.1;
     /** Bounds of the correction. @{ */
     double m_leastCorrection = 0.6;
     double m_mostCorrection = 1.4;
     /** @} */
     /** Use above which admission is reduced at once, in proportion. */
-    double m_overloaded = 1.3;
+    double m_overloaded = 2.0;
 };
 
 /** Use of a service's slots as the nodes beside its backend servers reported it. */
