Test the platform path in one process and prefer the own machine

The new tests showed that a request beside its own backend server could take the way over another node of equal cost, and that a backend server which had not answered yet was assumed to need 100 ms, so that it got no request until others were full.

Placement prefers the own machine and expects a new backend server to be as fast as the fastest one. Announcements of unknown services are rejected.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -51,6 +51,8 @@
 function(chervilmount_add_tests name)
     cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
     file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+    # Stand-ins are libraries of their own.
+    list(FILTER sources EXCLUDE REGEX "/standin/")
     add_executable(${name} ${sources})
     target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests ${CMAKE_SOURCE_DIR})
     target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} chervilmount_test_main
--- a/packages/relay/control/backendwatch.cpp
+++ b/packages/relay/control/backendwatch.cpp
@@ -39,7 +39,10 @@
 
 void BackendWatch::handle(const std::shared_ptr<HttpSession> &session, HttpRequest request)
 {
-    const AnnouncementMessage message = m_parser(request);
+    AnnouncementMessage message = m_parser(request);
+    const auto *named = std::get_if<traffic::InstanceAnnouncement>(&message);
+    if (named != nullptr && !m_isKnownService(named->m_service))
+        message = MalformedAnnouncement{400, "unknown service"};
     if (const MalformedAnnouncement *malformed = std::get_if<MalformedAnnouncement>(&message)) {
         if (m_log.allows(LogTopic::State, std::chrono::steady_clock::now()))
             m_log.write(LogTopic::State, adapters::LogLevel::Warn,
--- a/packages/relay/control/backendwatch.h
+++ b/packages/relay/control/backendwatch.h
@@ -28,6 +28,8 @@
 
     const traffic::InstanceRegister &instances() const { return m_instances; }
 
+    /** @returns whether a service of this name exists; others are not taken into use. */
+    std::function<bool(const std::string &)> m_isKnownService;
     /** Called when the backend server has become usable or unusable. */
     std::function<void()> m_onChanged;
     /** Called when a departure has to be recorded. */
--- a/packages/relay/http/httpserver.cpp
+++ b/packages/relay/http/httpserver.cpp
@@ -34,6 +34,14 @@
         session->closeIfIdle();
 }
 
+void HttpServer::abort()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    for (const std::shared_ptr<HttpSession> &session : m_sessions)
+        session->close();
+}
+
 std::size_t HttpServer::busySessions() const
 {
     return static_cast<std::size_t>(
--- a/packages/relay/http/httpserver.h
+++ b/packages/relay/http/httpserver.h
@@ -34,6 +34,9 @@
     /** Stops to listen and closes idle connections. */
     void close();
 
+    /** Stops to listen and closes all connections at once. */
+    void abort();
+
     /** @returns the number of sessions that read or handle a request. */
     std::size_t busySessions() const;
 
--- a/packages/relay/http/httpsession.h
+++ b/packages/relay/http/httpsession.h
@@ -47,6 +47,9 @@
     /** Closes the connection if no request is being read or handled. */
     void closeIfIdle();
 
+    /** Closes the connection at once. */
+    void close();
+
     bool isClosed() const { return m_closed; }
     /** @returns whether a request is being read or handled. */
     bool isBusy() const { return m_handling || m_writing || m_parser.has_value(); }
@@ -60,7 +63,6 @@
     void parse();
     void reject(boost::system::error_code error);
     void written(boost::system::error_code error, bool closes);
-    void close();
     void abandon();
 
     boost::asio::ip::tcp::socket m_socket;
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -88,6 +88,10 @@
     m_repeats.m_settings = m_settings.m_repeats;
     m_linkedAt = std::chrono::steady_clock::now();
     m_policy.m_onChanged = [this] { policyChanged(); };
+    m_backend.m_isKnownService = [this](const std::string &service) {
+        return service == m_settings.m_service
+                || (m_policy.current() && m_policy.current()->serviceNamed(service) != nullptr);
+    };
     m_backend.m_onChanged = [this] { backendChanged(); };
     m_backend.m_onDeparted = [this] {
         m_registry.setDeparted(traffic::departures(m_backend.instances()));
@@ -120,6 +124,17 @@
     m_mesh.updateSelf([](NodeRecord &record) { record.m_leaving = true; });
 }
 
+void RelayNode::abort()
+{
+    m_stopped = true;
+    m_callers.abort();
+    m_readiness.abort();
+    m_announcements.abort();
+    if (m_metricsServer)
+        m_metricsServer->abort();
+    m_mesh.close();
+}
+
 bool RelayNode::isReady() const
 {
     if (m_entryServices.m_stopping || !m_policy.current())
--- a/packages/relay/runtime/relaynode.h
+++ b/packages/relay/runtime/relaynode.h
@@ -46,6 +46,15 @@
     /** Leaves: takes no new work from other nodes, finishes what runs, then calls m_onStopped. */
     void stop();
 
+    /** Ends at once without answering anything; the object must outlive completions under way. */
+    void abort();
+
+    /** @returns the number of linked nodes. */
+    std::size_t linkedPeers() const { return m_mesh.linkedPeers(); }
+
+    /** @returns the version of the policy in force; 0 before the first one. */
+    std::uint64_t policyVersion() const { return m_policy.version(); }
+
     /** @returns whether callers should send requests to this node. */
     bool isReady() const;
 
--- a/packages/traffic/placement/placement.cpp
+++ b/packages/traffic/placement/placement.cpp
@@ -8,62 +8,73 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/** Hold time that is assumed for a backend server that has not answered yet. */
+/** Hold time that is assumed while no backend server has answered yet. */
 constexpr double UnknownHoldSeconds = 0.1;
 /** Part of the slots above which a backend server is expected to become slower. */
 constexpr double BusyShare = 0.7;
 
-double holdSeconds(const Target &target)
-{
-    return target.m_load.m_holdSeconds > 0 ? target.m_load.m_holdSeconds : UnknownHoldSeconds;
-}
-
 double usedShare(const Target &target)
 {
     const double runs = target.m_load.m_running + target.m_load.m_waiting + target.m_sentSinceReport;
     return (runs + 1.0) / std::max(1, target.m_load.m_limit);
 }
 
-double waitSeconds(const Target &target)
+/** A backend server that has not answered yet is expected to be as fast as the fastest other one,
+ * so that it gets requests and becomes known. */
+double fastestHold(std::span<const Target *const> targets)
 {
-    return std::max(0.0, usedShare(target) - 1.0) * holdSeconds(target);
+    double fastest = 0.0;
+    for (const Target *target : targets) {
+        const double hold = target->m_load.m_holdSeconds;
+        if (hold > 0 && (fastest <= 0 || hold < fastest))
+            fastest = hold;
+    }
+    return fastest > 0 ? fastest : UnknownHoldSeconds;
 }
 
-double cost(const Target &target, const PlacementSettings &settings)
+struct Cost
 {
-    double seconds = holdSeconds(target) + waitSeconds(target);
+    double m_seconds = 0.0;
+    double m_waitSeconds = 0.0;
+};
+
+Cost costOf(const Target &target, double unknownHold, const PlacementSettings &settings)
+{
+    const double hold =
+            target.m_load.m_holdSeconds > 0 ? target.m_load.m_holdSeconds : unknownHold;
+    Cost cost;
+    cost.m_waitSeconds = std::max(0.0, usedShare(target) - 1.0) * hold;
+    cost.m_seconds = hold + cost.m_waitSeconds;
     // Spreads calls before the backend server is full, in proportion to the room that is left.
-    seconds += std::max(0.0, usedShare(target) - BusyShare) * holdSeconds(target);
+    cost.m_seconds += std::max(0.0, usedShare(target) - BusyShare) * hold;
+    if (!target.m_node.empty())
+        cost.m_seconds += Seconds(settings.m_nodePenalty).count();
     if (target.m_place != routing::Place::SameFailureDomain)
-        seconds += Seconds(settings.m_domainPenalty).count();
+        cost.m_seconds += Seconds(settings.m_domainPenalty).count();
     if (target.m_place == routing::Place::OtherRegion)
-        seconds += Seconds(settings.m_regionPenalty).count();
-    return seconds;
+        cost.m_seconds += Seconds(settings.m_regionPenalty).count();
+    return cost;
 }
 
 } // namespace
 
-std::chrono::nanoseconds expectedWait(const Target &target)
-{
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(Seconds(waitSeconds(target)));
-}
-
 std::optional<Placement> choosePlacement(std::span<const Target *const> targets,
                                          std::span<const std::string> excluded,
                                          const PlacementSettings &settings,
                                          std::chrono::steady_clock::time_point now)
 {
     std::optional<std::size_t> best;
-    double bestCost = 0.0;
+    Cost bestCost;
     bool bestEjected = false;
+    const double unknownHold = fastestHold(targets);
     for (std::size_t index = 0; index < targets.size(); ++index) {
         const Target &target = *targets[index];
         if (std::find(excluded.begin(), excluded.end(), target.m_node) != excluded.end())
             continue;
         const bool ejected = routing::isEjected(target.m_outlier, now);
-        const double targetCost = cost(target, settings);
+        const Cost targetCost = costOf(target, unknownHold, settings);
         const bool better = !best || (bestEjected && !ejected)
-                || (bestEjected == ejected && targetCost < bestCost);
+                || (bestEjected == ejected && targetCost.m_seconds < bestCost.m_seconds);
         if (!better)
             continue;
         best = index;
@@ -72,7 +83,8 @@
     }
     if (!best)
         return std::nullopt;
-    return Placement{*best, expectedWait(*targets[*best])};
+    return Placement{*best, std::chrono::duration_cast<std::chrono::nanoseconds>(
+                                    Seconds(bestCost.m_waitSeconds))};
 }
 
 } // namespace chervilmount::traffic
--- a/packages/traffic/placement/placement.h
+++ b/packages/traffic/placement/placement.h
@@ -16,6 +16,8 @@
 struct PlacementSettings
 {
     routing::OutlierSettings m_outlier;
+    /** Wait that is accepted to stay on the own machine, which saves the way over another node. */
+    std::chrono::milliseconds m_nodePenalty{2};
     /** Wait that is accepted to stay in the own failure domain, since bytes between them cost. */
     std::chrono::milliseconds m_domainPenalty{10};
     /** Wait that is accepted to stay in the own region, whose link is narrow and dear. */
@@ -35,7 +37,7 @@
 /** A node with the backend server beside it, as seen by a calling node. */
 struct Target
 {
-    /** Name of the node. */
+    /** Name of the node; empty for the deciding node itself. */
     std::string m_node;
     routing::Place m_place = routing::Place::SameFailureDomain;
     TargetLoad m_load;
@@ -52,9 +54,6 @@
     std::chrono::nanoseconds m_expectedWait{0};
 };
 
-/** @returns the wait that a new run can expect at a target. */
-std::chrono::nanoseconds expectedWait(const Target &target);
-
 /**
  * Chooses the target that is expected to answer first, where leaving the failure domain or the
  * region counts as an additional wait. Ejected targets are chosen only if all are ejected.
--- /dev/null
+++ b/tests/platform/lifecycle_test.cpp
@@ -0,0 +1,179 @@
+#include "platform/standin/fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Two nodes beside backend servers of the callers' service, ready. */
+void startTwo(Fleet &fleet)
+{
+    fleet.addNode("n1", "slipdesk");
+    fleet.addNode("n2", "slipdesk");
+    fleet.configure(1);
+    REQUIRE(fleet.runUntil([&fleet] {
+        return fleet.m_nodes[0]->m_node->policyVersion() == 1
+                && fleet.m_nodes[1]->m_node->policyVersion() == 1;
+    }));
+    fleet.announce(*fleet.m_nodes[0]);
+    fleet.announce(*fleet.m_nodes[1]);
+    REQUIRE(fleet.settle());
+}
+
+} // namespace
+
+// Guards against work for a backend server after its leaving was acknowledged.
+TEST_CASE("A backend server that drains gets no new work once that is acknowledged")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    FleetNode &leaving = *fleet.m_nodes[0];
+    CHECK(fleet.announce(leaving, "draining") == 200);
+    const int before = leaving.m_backend->m_arrivals;
+    for (int request = 0; request < 10; ++request)
+        CHECK(fleet.request(leaving, {}, "a" + std::to_string(request)).m_status == 200);
+    CHECK(leaving.m_backend->m_arrivals == before);
+}
+
+// Guards against a node that forgets, when it starts anew, that its backend server has left.
+TEST_CASE("A departure holds after the node was killed")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    FleetNode &leaving = *fleet.m_nodes[0];
+    CHECK(fleet.tell(leaving, "DELETE", leaving.m_backend->id(), "") == 200);
+    REQUIRE(fleet.runUntil([&fleet] {
+        return fleet.m_store.value("chervilmount-nodes", "n1").find("i-n1") != std::string::npos;
+    }));
+    fleet.kill(leaving);
+    fleet.restart(leaving);
+    REQUIRE(fleet.settle());
+    const int before = leaving.m_backend->m_arrivals;
+    CHECK(fleet.announce(leaving) == 200);
+    for (int request = 0; request < 10; ++request)
+        fleet.request(leaving, {}, "a" + std::to_string(request));
+    // A status check at the start of the node is no work.
+    CHECK(leaving.m_backend->m_runs.empty());
+    CHECK(leaving.m_backend->m_arrivals <= before + 1);
+}
+
+// Guards against announcements that displace the backend server although they cannot be read.
+TEST_CASE("A malformed announcement changes nothing")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    FleetNode &node = *fleet.m_nodes[0];
+    CHECK(fleet.tell(node, "PUT", "i-x", "not json") == 400);
+    CHECK(fleet.tell(node, "PUT", "i-x", R"({"service":"slipdesk","slots":"many"})") == 400);
+    CHECK(fleet.tell(node, "PUT", "i-x",
+                     R"({"service":"unknown","address":"127.0.0.1:9","zone":"z","version":"v",
+                         "slots":5,"state":"ready","cold_remaining_s":0,"sequence":1,
+                         "born":99999999999})")
+          == 400);
+    CHECK(fleet.tell(node, "PUT", "i-x",
+                     R"({"service":"slipdesk","address":"10.9.9.9:9","zone":"z","version":"v",
+                         "slots":5,"state":"ready","cold_remaining_s":0,"sequence":1,
+                         "born":99999999999})")
+          == 400);
+    CHECK(fleet.request(node, {}, "a1").m_status == 200);
+    CHECK(node.m_backend->runs("a1") == 1);
+}
+
+// Guards against a node that stays without work until its backend server announces itself again.
+TEST_CASE("A node that starts anew asks its backend server who it is")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    FleetNode &node = *fleet.m_nodes[0];
+    fleet.kill(node);
+    fleet.restart(node);
+    REQUIRE(fleet.settle());
+    CHECK(fleet.runUntil([&] { return fleet.request(node, {}, "again").m_seal == "seal-i-n1"; },
+                         1s));
+}
+
+// Guards against a planned stop that cuts a request, and against a node that calls itself ready
+// while it stops.
+TEST_CASE("A planned stop finishes what runs and turns callers away in time")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    FleetNode &stopping = *fleet.m_nodes[0];
+    stopping.m_backend->m_serviceTime = 300ms;
+    std::optional<CallerResponse> early;
+    const auto earlyConnection = fleet.send(stopping, {}, "early", early);
+    REQUIRE(fleet.runUntil([&stopping] { return stopping.m_backend->runs("early") == 1; }));
+    stopping.m_node->stop();
+    CHECK(fleet.readiness(stopping) == 503);
+    CHECK(fleet.request(stopping, {}, "late").m_status == 200);
+    CHECK(fleet.runUntil([&early] { return early.has_value(); }));
+    CHECK(early->m_status == 200);
+    CHECK(fleet.runUntil([&stopping] { return stopping.m_stopped; }, 6s));
+    // The other node no longer sends work there, and serves what comes.
+    CHECK(fleet.request(*fleet.m_nodes[1], {}, "after").m_status == 200);
+}
+
+// Guards against a node that drops out while only the store cannot be reached.
+TEST_CASE("Nodes go on serving while the store is away, and follow it afterwards")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    fleet.m_store.m_faults.m_status = 503;
+    fleet.m_store.compact();
+    fleet.runFor(500ms);
+    CHECK(fleet.request(*fleet.m_nodes[0], {}, "a1").m_status == 200);
+    CHECK(fleet.readiness(*fleet.m_nodes[0]) == 200);
+    fleet.m_store.m_faults.m_status = 0;
+    fleet.configure(2);
+    CHECK(fleet.runUntil([&fleet] {
+        return fleet.m_nodes[0]->m_node->policyVersion() == 2
+                && fleet.m_nodes[1]->m_node->policyVersion() == 2;
+    }));
+}
+
+// Guards against a version that reaches only the nodes that the store serves.
+TEST_CASE("A node that the store turns away gets the configuration from another node")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    FleetNode &cut = *fleet.m_nodes[1];
+    fleet.kill(cut);
+    // The restarted node asks a store that refuses it, while the other one has the rows.
+    const std::string storeAddress = cut.m_settings.m_store.m_address;
+    RowStore refusing(fleet.m_context);
+    refusing.m_faults.m_status = 503;
+    cut.m_settings.m_store.m_address = refusing.address();
+    fleet.restart(cut);
+    CHECK(fleet.runUntil([&cut] { return cut.m_node->policyVersion() == 1; }));
+    fleet.configure(5);
+    CHECK(fleet.runUntil([&cut] { return cut.m_node->policyVersion() == 5; }, 2s));
+    fleet.kill(cut);
+}
+
+// Guards against a configuration that takes effect in part, or that reverts.
+TEST_CASE("An invalid or older configuration changes nothing")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    fleet.configure(4, R"(["bad","slips.example","/slips/","sometimes",1.0,1.0,2,null,2,false,"absent"])");
+    fleet.runFor(600ms);
+    CHECK(fleet.m_nodes[0]->m_node->policyVersion() == 1);
+    fleet.configure(6);
+    REQUIRE(fleet.runUntil([&fleet] { return fleet.m_nodes[0]->m_node->policyVersion() == 6; }));
+    fleet.configure(3, R"(["other","other.example","/x/","idempotent",1.0,1.0,2,null,2,false,"slipdesk"])");
+    fleet.runFor(600ms);
+    CHECK(fleet.m_nodes[0]->m_node->policyVersion() == 6);
+    CHECK(fleet.request(*fleet.m_nodes[0], {}, "a1").m_status == 200);
+}
+
+// Guards against a withdrawn key or route that still works.
+TEST_CASE("A new version is in force at every node within two seconds")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    fleet.configure(2, R"(["order","slips.example","/orders/","idempotent",1.0,1.0,2,null,2,false,"slipdesk"])");
+    fleet.runFor(2s);
+    for (const std::unique_ptr<FleetNode> &node : fleet.m_nodes)
+        CHECK(fleet.request(*node, {}, "a-" + node->m_name).m_status == 404);
+}
--- /dev/null
+++ b/tests/platform/standin/backend.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "relay/http/httpclientconnection.h"
+#include "relay/http/httpserver.h"
+#include "relay/timers/timerqueue.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/** How a backend server misbehaves; each holds until it is changed. */
+struct BackendFaults
+{
+    /** Says that it has not run the request. */
+    bool m_refuses = false;
+    /** Runs the request and sends no answer. */
+    bool m_losesAnswers = false;
+    /** Runs the request, answers something else and ends the connection. */
+    bool m_resets = false;
+    /** Answers without the proof that it is a backend server. */
+    bool m_unsealed = false;
+    /** Answers with the identifier of another request. */
+    bool m_wrongAttempt = false;
+};
+
+/** A run at the backend server. */
+struct BackendRun
+{
+    std::string m_attempt;
+    chervilmount::relay::HttpRequest m_request;
+};
+
+/** A nested call that each run makes before it answers. */
+struct NestedCall
+{
+    std::string m_address;
+    std::string m_host;
+    std::string m_target;
+};
+
+/** A backend server that answers "body of ATTEMPT" after its service time. */
+class Backend
+{
+public:
+    Backend(boost::asio::io_context &context, std::string id, std::string service);
+
+    const std::string &address() const { return m_address; }
+    const std::string &id() const { return m_id; }
+
+    /** @returns the body of an announcement. */
+    std::string announcement(const std::string &state, int sequence, std::int64_t born) const;
+
+    /** @returns how often a request with this identifier has run. */
+    int runs(const std::string &attempt) const;
+
+    BackendFaults m_faults;
+    std::chrono::milliseconds m_serviceTime{2};
+    int m_slots = 10;
+    std::vector<NestedCall> m_nestedCalls;
+    std::vector<BackendRun> m_runs;
+    /** Requests received, also those that were refused. */
+    int m_arrivals = 0;
+    /** Runs whose caller left before the answer. */
+    int m_abandoned = 0;
+    int m_largestRunning = 0;
+
+private:
+    using Session = std::shared_ptr<chervilmount::relay::HttpSession>;
+
+    void handle(const Session &session, chervilmount::relay::HttpRequest request);
+    void callNested(const Session &session, const std::string &attempt, std::size_t next,
+                    std::chrono::steady_clock::time_point deadline);
+    void answer(const Session &session, const std::string &attempt, int status);
+
+    boost::asio::io_context &m_context;
+    chervilmount::relay::TimerQueue m_timers;
+    chervilmount::traffic::CallerLimits m_limits;
+    std::string m_id;
+    std::string m_service;
+    std::string m_address;
+    chervilmount::relay::HttpServer m_server;
+    int m_running = 0;
+    int m_lastNested = 0;
+};
--- /dev/null
+++ b/tests/platform/standin/fleet.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "platform/platform.h"
+#include "platform/standin/backend.h"
+#include "platform/standin/rowstore.h"
+#include "relay/relay.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/** A response to a request of the fleet's caller; status 0 if there was none. */
+struct CallerResponse
+{
+    int m_status = 0;
+    std::string m_body;
+    std::string m_seal;
+    std::string m_attempt;
+    std::string m_retryAfter;
+};
+
+/** A request of a caller. */
+struct CallerRequest
+{
+    std::string m_method = "GET";
+    std::string m_host = "slips.example";
+    std::string m_target = "/slips/1";
+    std::string m_key = "key-large";
+    std::chrono::milliseconds m_deadline{3000};
+    std::string m_body;
+};
+
+/** One node of the fleet with the backend server beside it. */
+struct FleetNode
+{
+    std::string m_name;
+    chervilmount::platform::BootSettings m_settings;
+    std::unique_ptr<Backend> m_backend;
+    std::unique_ptr<chervilmount::platform::StoreClient> m_store;
+    std::unique_ptr<chervilmount::relay::RelayNode> m_node;
+    std::int64_t m_bornAt = 0;
+    int m_sequence = 0;
+    bool m_stopped = false;
+};
+
+/** Nodes, backend servers and the store in one process, on loopback addresses. */
+class Fleet
+{
+public:
+    Fleet();
+
+    /** Adds a backend server with its node and starts both. */
+    FleetNode &addNode(const std::string &name, const std::string &service,
+                       const std::string &zone = "zone-a", const std::string &region = "region-a");
+
+    /** Starts the node's process again, as after a crash. */
+    void restart(FleetNode &node);
+
+    /** Ends the node's process at once. */
+    void kill(FleetNode &node);
+
+    /** Lets a backend server announce itself to its node. @returns the status of the answer. */
+    int announce(FleetNode &node, const std::string &state = "ready");
+
+    /** Sends a message to a node's announcement listener. @returns the status of the answer. */
+    int tell(FleetNode &node, const std::string &method, const std::string &id,
+             const std::string &body);
+
+    /** Writes a version of the operators' configuration to the store. */
+    void configure(int version, const std::string &routes = "");
+
+    /** Runs the event loop until the condition holds. @returns whether it did in time. */
+    bool runUntil(const std::function<bool()> &condition,
+                  std::chrono::milliseconds limit = std::chrono::seconds{5});
+    void runFor(std::chrono::milliseconds duration);
+
+    /** Waits until every node is ready and linked to all others. */
+    bool settle();
+
+    /** Sends a request to a node and waits for its response. */
+    CallerResponse request(FleetNode &node, const CallerRequest &request,
+                           const std::string &attempt);
+
+    /** Sends a request; the response is stored when it arrives.
+     * @returns the connection, to be closed by a caller that leaves. */
+    std::shared_ptr<chervilmount::relay::HttpClientConnection>
+    send(FleetNode &node, const CallerRequest &request, const std::string &attempt,
+         std::optional<CallerResponse> &response);
+
+    int readiness(FleetNode &node);
+
+    boost::asio::io_context m_context;
+    RowStore m_store;
+    std::vector<std::unique_ptr<FleetNode>> m_nodes;
+
+    /** Name of the route and of its service for callers' requests. */
+    static constexpr const char *Route = "slip-lookup";
+
+private:
+    chervilmount::relay::HttpRequest makeRequest(const CallerRequest &request,
+                                                 const std::string &attempt) const;
+    int exchange(const std::string &address, chervilmount::relay::HttpRequest request);
+
+    std::uint64_t m_seed = 1;
+    std::int64_t m_lastStart = 1000;
+};
--- /dev/null
+++ b/tests/platform/standin/rowstore.cpp
@@ -0,0 +1,214 @@
+#include "platform/standin/rowstore.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <openssl/evp.h>
+
+#include <algorithm>
+
+using namespace chervilmount::relay;
+namespace json = boost::json;
+
+namespace {
+
+std::string encode(const std::string &bytes)
+{
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    text.resize(static_cast<std::size_t>(
+            EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                            reinterpret_cast<const unsigned char *>(bytes.data()),
+                            static_cast<int>(bytes.size()))));
+    return text;
+}
+
+std::string decode(const std::string &text)
+{
+    std::string bytes(text.size(), '\0');
+    int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
+                                 reinterpret_cast<const unsigned char *>(text.data()),
+                                 static_cast<int>(text.size()));
+    for (std::size_t end = text.size(); end > 0 && text[end - 1] == '='; --end)
+        --length;
+    bytes.resize(static_cast<std::size_t>(std::max(0, length)));
+    return bytes;
+}
+
+std::map<std::string, std::string> parseQuery(const std::string &target)
+{
+    std::map<std::string, std::string> query;
+    std::size_t position = target.find('?');
+    while (position != std::string::npos) {
+        const std::size_t next = target.find('&', position + 1);
+        const std::string part = target.substr(position + 1, next - position - 1);
+        const std::size_t equals = part.find('=');
+        if (equals != std::string::npos)
+            query[part.substr(0, equals)] = part.substr(equals + 1);
+        position = next;
+    }
+    return query;
+}
+
+} // namespace
+
+std::string freeAddress(boost::asio::io_context &context)
+{
+    boost::asio::ip::tcp::acceptor acceptor(
+            context, {boost::asio::ip::address_v4::loopback(), 0});
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+RowStore::RowStore(boost::asio::io_context &context)
+    : m_timers(context)
+    , m_address(freeAddress(context))
+    , m_server(context, m_address, m_limits, [this](const Session &session, HttpRequest request) {
+        handle(session, request);
+    })
+{
+}
+
+void RowStore::put(const std::string &table, const std::string &key, const std::string &value)
+{
+    write(table, key, encode(value));
+}
+
+std::string RowStore::value(const std::string &table, const std::string &key) const
+{
+    const auto rows = m_tables.find(table);
+    if (rows == m_tables.end() || !rows->second.contains(key))
+        return {};
+    return decode(rows->second.at(key).m_value);
+}
+
+void RowStore::compact()
+{
+    m_compacted = m_version;
+    m_changes.clear();
+    const std::list<Feed> feeds = std::exchange(m_feeds, {});
+    for (const Feed &feed : feeds)
+        respond(feed.m_session, 410, {});
+}
+
+void RowStore::handle(const Session &session, const HttpRequest &request)
+{
+    const std::string target(request.target());
+    const std::string path = target.substr(0, target.find('?'));
+    ++m_calls[path];
+    if (m_faults.m_silent) {
+        m_silenced.push_back(session);
+        return;
+    }
+    if (m_faults.m_status != 0) {
+        respond(session, m_faults.m_status, {});
+        return;
+    }
+    if (path == "/rows-tx")
+        transact(session, request.body());
+    else if (path == "/rows-get")
+        getRows(session, parseQuery(target));
+    else if (path == "/rows-feed")
+        feed(session, parseQuery(target));
+    else
+        respond(session, 404, {});
+}
+
+void RowStore::transact(const Session &session, const std::string &body)
+{
+    const json::object request = json::parse(body).as_object();
+    for (const json::value &entry : request.at("expected_rev").as_array()) {
+        const json::object &row = entry.as_object();
+        const auto &rows = m_tables[std::string(row.at("table").as_string())];
+        const auto found = rows.find(std::string(row.at("key").as_string()));
+        const std::uint64_t version = found == rows.end() ? 0 : found->second.m_version;
+        if (version != static_cast<std::uint64_t>(row.at("ver").as_int64())) {
+            respond(session, 412, {});
+            return;
+        }
+    }
+    for (const json::value &entry : request.at("set_keys").as_array()) {
+        const json::object &row = entry.as_object();
+        write(std::string(row.at("table").as_string()), std::string(row.at("key").as_string()),
+              std::string(row.at("value").as_string()));
+    }
+    if (m_faults.m_loseWriteAnswers)
+        m_silenced.push_back(session);
+    else
+        respond(session, 200, {});
+}
+
+void RowStore::getRows(const Session &session, const std::map<std::string, std::string> &query)
+{
+    const std::string table = query.at("table");
+    const std::string from = query.contains("from") ? query.at("from") : "";
+    json::array rows;
+    for (const auto &[key, row] : m_tables[table]) {
+        if (key >= from)
+            rows.push_back(rowJson(table, key));
+    }
+    respond(session, 200, {{"rows", std::move(rows)}, {"truncated", false}});
+}
+
+void RowStore::feed(const Session &session, const std::map<std::string, std::string> &query)
+{
+    const Feed feed{session, query.at("table"), std::stoull(query.at("after"))};
+    if (feed.m_after < m_compacted) {
+        respond(session, 410, {});
+        return;
+    }
+    if (answerFeed(feed, false))
+        return;
+    m_feeds.push_back(feed);
+    m_timers.add(std::chrono::steady_clock::now()
+                         + std::chrono::milliseconds(std::stoll(query.at("wait_ms"))),
+                 [this, session] {
+                     const auto found = std::find_if(
+                             m_feeds.begin(), m_feeds.end(),
+                             [&session](const Feed &entry) { return entry.m_session == session; });
+                     if (found == m_feeds.end())
+                         return;
+                     answerFeed(*found, true);
+                     m_feeds.erase(found);
+                 });
+}
+
+bool RowStore::answerFeed(const Feed &feed, bool atOnce)
+{
+    json::array rows;
+    for (const Change &change : m_changes) {
+        if (change.m_table == feed.m_table && change.m_version > feed.m_after)
+            rows.push_back(rowJson(change.m_table, change.m_key));
+    }
+    if (rows.empty() && !atOnce)
+        return false;
+    respond(feed.m_session, 200, {{"rows", std::move(rows)}});
+    return true;
+}
+
+void RowStore::write(const std::string &table, const std::string &key, const std::string &encoded)
+{
+    m_tables[table][key] = {encoded, ++m_version};
+    m_changes.push_back({m_version, table, key});
+    std::list<Feed> waiting;
+    for (const Feed &feed : std::exchange(m_feeds, {})) {
+        if (!answerFeed(feed, false))
+            waiting.push_back(feed);
+    }
+    m_feeds = std::move(waiting);
+}
+
+json::object RowStore::rowJson(const std::string &table, const std::string &key) const
+{
+    const Row &row = m_tables.at(table).at(key);
+    return {{"table", table}, {"part", ""}, {"key", key}, {"value", row.m_value},
+            {"ver", row.m_version}};
+}
+
+void RowStore::respond(const Session &session, int status, json::object body)
+{
+    body["ver"] = m_version;
+    body["now_s"] = 0;
+    HttpResponse response = makeResponse(status, json::serialize(body));
+    response.set(boost::beast::http::field::content_type, "application/json");
+    session->respond(std::move(response), false);
+}
--- /dev/null
+++ b/tests/platform/standin/rowstore.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "relay/http/httpserver.h"
+#include "relay/timers/timerqueue.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/** Faults of the store; each holds until it is changed. */
+struct RowStoreFaults
+{
+    /** Calls are answered with this status; 0 for none. */
+    int m_status = 0;
+    /** Calls get no answer. */
+    bool m_silent = false;
+    /** Writes take effect, but their answers are lost. */
+    bool m_loseWriteAnswers = false;
+};
+
+/** The platform's store in memory: rows with versions, transactions and a feed of changes. */
+class RowStore
+{
+public:
+    explicit RowStore(boost::asio::io_context &context);
+
+    std::string address() const { return m_address; }
+
+    /** Writes a row as the operators do. */
+    void put(const std::string &table, const std::string &key, const std::string &value);
+
+    /** @returns the decoded value of a row; empty if there is none. */
+    std::string value(const std::string &table, const std::string &key) const;
+
+    /** Drops the history: feeds that are behind get 410. */
+    void compact();
+
+    RowStoreFaults m_faults;
+    /** Calls received by path. */
+    std::map<std::string, int> m_calls;
+
+private:
+    using Session = std::shared_ptr<chervilmount::relay::HttpSession>;
+
+    struct Row
+    {
+        std::string m_value;
+        std::uint64_t m_version = 0;
+    };
+
+    struct Change
+    {
+        std::uint64_t m_version = 0;
+        std::string m_table;
+        std::string m_key;
+    };
+
+    struct Feed
+    {
+        Session m_session;
+        std::string m_table;
+        std::uint64_t m_after = 0;
+    };
+
+    void handle(const Session &session, const chervilmount::relay::HttpRequest &request);
+    void transact(const Session &session, const std::string &body);
+    void getRows(const Session &session, const std::map<std::string, std::string> &query);
+    void feed(const Session &session, const std::map<std::string, std::string> &query);
+    bool answerFeed(const Feed &feed, bool atOnce);
+    void write(const std::string &table, const std::string &key, const std::string &encoded);
+    boost::json::object rowJson(const std::string &table, const std::string &key) const;
+    void respond(const Session &session, int status, boost::json::object body);
+
+    chervilmount::relay::TimerQueue m_timers;
+    chervilmount::traffic::CallerLimits m_limits;
+    std::string m_address;
+    chervilmount::relay::HttpServer m_server;
+    /** Values are kept in the encoded form in which they are sent. */
+    std::map<std::string, std::map<std::string, Row>> m_tables;
+    std::vector<Change> m_changes;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_compacted = 0;
+    std::list<Feed> m_feeds;
+    /** Sessions that get no answer. */
+    std::list<Session> m_silenced;
+};
+
+/** @returns a loopback address with a port that is free at the moment. */
+std::string freeAddress(boost::asio::io_context &context);
--- a/tests/traffic/placement_test.cpp
+++ b/tests/traffic/placement_test.cpp
@@ -81,6 +81,27 @@
     CHECK(targets.choose() == "near");
 }
 
+// Guards against a backend server that has joined and gets no request until the others are full.
+TEST_CASE("A backend server that has not answered yet is tried at once")
+{
+    Targets targets;
+    targets.add("here", routing::Place::SameFailureDomain, 8, 0.05);
+    targets.add("new", routing::Place::SameFailureDomain, 0, 0.0);
+    targets.add("near", routing::Place::SameRegion, 0, 0.0);
+    CHECK(targets.choose({"near"}) == "here");
+    targets.add("full", routing::Place::SameFailureDomain, 19, 0.05);
+    CHECK(targets.choose({"here", "near"}) == "new");
+}
+
+// Guards against a hop over another node that gains nothing.
+TEST_CASE("Equal targets are taken on the own machine")
+{
+    Targets targets;
+    targets.add("other", routing::Place::SameFailureDomain, 5, 0.05);
+    targets.add("", routing::Place::SameFailureDomain, 5, 0.05);
+    CHECK(targets.choose().empty());
+}
+
 // Guards against a backend server that refuses fast and so attracts all calls.
 TEST_CASE("An ejected target is used only if there is no other")
 {
