--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -67,7 +67,7 @@
         targets.push_back(&own);
     }
     const std::optional<traffic::Placement> placement = traffic::choosePlacement(
-            targets, m_tried, m_services.m_settings.m_placement, now);
+            targets, {m_tried, m_entry.m_priority == 0}, m_services.m_settings.m_placement, now);
     if (!placement || m_tried.size() >= MostNodesAsked) {
         refuseWithoutRoom(targets.empty() ? "no backend server" : "no room");
         return;
--- a/packages/traffic/placement/placement.cpp
+++ b/packages/traffic/placement/placement.cpp
@@ -38,15 +38,17 @@
     double m_waitSeconds = 0.0;
 };
 
-Cost costOf(const Target &target, double unknownHold, const PlacementSettings &settings)
+Cost costOf(const Target &target, double unknownHold, bool goesFirst,
+            const PlacementSettings &settings)
 {
     const double hold =
             target.m_load.m_holdSeconds > 0 ? target.m_load.m_holdSeconds : unknownHold;
     Cost cost;
-    cost.m_waitSeconds = std::max(0.0, usedShare(target) - 1.0) * hold;
+    const double waitShare = goesFirst ? settings.m_firstWaitShare : 1.0;
+    cost.m_waitSeconds = std::max(0.0, usedShare(target) - 1.0) * hold * waitShare;
     cost.m_seconds = hold + cost.m_waitSeconds;
     // Spreads calls before the backend server is full, in proportion to the room that is left.
-    cost.m_seconds += std::max(0.0, usedShare(target) - BusyShare) * hold;
+    cost.m_seconds += std::max(0.0, usedShare(target) - BusyShare) * hold * waitShare;
     if (!target.m_node.empty())
         cost.m_seconds += Seconds(settings.m_nodePenalty).count();
     if (target.m_place != routing::Place::SameFailureDomain)
@@ -59,7 +61,7 @@
 } // namespace
 
 std::optional<Placement> choosePlacement(std::span<const Target *const> targets,
-                                         std::span<const std::string> excluded,
+                                         const PlacementRequest &request,
                                          const PlacementSettings &settings,
                                          std::chrono::steady_clock::time_point now)
 {
@@ -69,10 +71,11 @@
     const double unknownHold = fastestHold(targets);
     for (std::size_t index = 0; index < targets.size(); ++index) {
         const Target &target = *targets[index];
-        if (std::find(excluded.begin(), excluded.end(), target.m_node) != excluded.end())
+        if (std::find(request.m_tried.begin(), request.m_tried.end(), target.m_node)
+            != request.m_tried.end())
             continue;
         const bool ejected = routing::isEjected(target.m_outlier, now);
-        const Cost targetCost = costOf(target, unknownHold, settings);
+        const Cost targetCost = costOf(target, unknownHold, request.m_goesFirst, settings);
         const bool better = !best || (bestEjected && !ejected)
                 || (bestEjected == ejected && targetCost.m_seconds < bestCost.m_seconds);
         if (!better)
--- a/packages/traffic/placement/placement.h
+++ b/packages/traffic/placement/placement.h
@@ -20,6 +20,9 @@
     std::chrono::milliseconds m_nodePenalty{2};
     /** Wait that is accepted to stay in the own failure domain, since bytes between them cost. */
     std::chrono::milliseconds m_domainPenalty{10};
+    /** Part of the usual wait that a call which goes first in the queue expects: it may take the
+     * fastest backend server although that is busy. */
+    double m_firstWaitShare = 0.2;
     /** Wait that is accepted to stay in the own region, whose link is narrow and dear. */
     std::chrono::milliseconds m_regionPenalty{60};
 };
@@ -46,6 +49,15 @@
     routing::OutlierState m_outlier;
 };
 
+/** A call that needs a place. */
+struct PlacementRequest
+{
+    /** Names of nodes that have already been tried. */
+    std::span<const std::string> m_tried;
+    /** The call is of the most important ones, which are first in every queue. */
+    bool m_goesFirst = false;
+};
+
 /** A chosen target. */
 struct Placement
 {
@@ -57,11 +69,10 @@
 /**
  * Chooses the target that is expected to answer first, where leaving the failure domain or the
  * region counts as an additional wait. Ejected targets are chosen only if all are ejected.
- * @param excluded names of nodes that have already been tried.
  * @returns nothing if there is no target left.
  */
 std::optional<Placement> choosePlacement(std::span<const Target *const> targets,
-                                         std::span<const std::string> excluded,
+                                         const PlacementRequest &request,
                                          const PlacementSettings &settings,
                                          std::chrono::steady_clock::time_point now);
 
--- a/tests/traffic/placement_test.cpp
+++ b/tests/traffic/placement_test.cpp
@@ -25,10 +25,10 @@
         return target;
     }
 
-    std::string choose(const std::vector<std::string> &excluded = {}) const
+    std::string choose(const std::vector<std::string> &tried = {}, bool goesFirst = false) const
     {
         const std::optional<Placement> placement =
-                choosePlacement(m_pointers, excluded, PlacementSettings{}, Start);
+                choosePlacement(m_pointers, {tried, goesFirst}, PlacementSettings{}, Start);
         return placement ? m_pointers[placement->m_index]->m_node : "";
     }
 
@@ -93,6 +93,17 @@
     CHECK(targets.choose({"here", "near"}) == "new");
 }
 
+// Guards against orders that miss their timeout at a slow backend server although they would be
+// first in the queue of a fast one.
+TEST_CASE("A call that goes first in the queue takes the fast backend server although it is busy")
+{
+    Targets targets;
+    targets.add("fast", routing::Place::SameFailureDomain, 40, 0.02);
+    targets.add("slow", routing::Place::SameFailureDomain, 10, 0.035);
+    CHECK(targets.choose() == "slow");
+    CHECK(targets.choose({}, true) == "fast");
+}
+
 // Guards against a hop over another node that gains nothing.
 TEST_CASE("Equal targets are taken on the own machine")
 {
