Serve other nodes during the first part of a stop and leave silent nodes sooner

Cause: with nodes stopped in turn every 2 s a quarter of the deepest service was without work for 4 s each time, since a stopping node refused calls at once; a node that died silently got calls for another second.

Change: a stopping node takes calls of others for 1.7 s more; three missing statuses (0.6 s) end new calls to a node and five (1 s) its link.

--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -16,8 +16,7 @@
 constexpr Milliseconds OtherRegionStatusInterval{1000};
 /** Statuses that may be missing until a node gets no new calls, and until its link is given up. */
 constexpr int MissingUntilStale = 3;
-constexpr int MissingUntilLost = 8;
-constexpr Milliseconds ShortestSilence{1000};
+constexpr int MissingUntilLost = 5;
 constexpr Milliseconds LongestSilence{3500};
 
 /** Profiles change slowly and are sent with every fifth status. */
@@ -98,8 +97,8 @@
     for (const auto &[node, peer] : m_peers) {
         if (wasPaused)
             peer->m_heardAt = now;
-        const Milliseconds longest = std::clamp(
-                statusInterval(peer->m_record) * MissingUntilLost, ShortestSilence, LongestSilence);
+        const Milliseconds longest =
+                std::min(statusInterval(peer->m_record) * MissingUntilLost, LongestSilence);
         if (peer->m_link && now - peer->m_heardAt > longest)
             loseLink(*peer, now);
         if (!peer->m_link && !peer->m_connecting && now >= peer->m_nextDial)
@@ -414,8 +413,7 @@
 {
     return peer.m_link && peer.m_greeted
             && now - peer.m_heardAt
-                    < std::clamp(statusInterval(peer.m_record) * MissingUntilStale,
-                                 ShortestSilence, LongestSilence);
+                    < std::min(statusInterval(peer.m_record) * MissingUntilStale, LongestSilence);
 }
 
 std::chrono::milliseconds Mesh::statusInterval(const NodeRecord &other) const
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -121,7 +121,6 @@
     m_stopRequestedAt = std::chrono::steady_clock::now();
     logState("stopping", {{"running", std::to_string(m_gate.activeRuns())},
                           {"sessions", std::to_string(m_callers.sessions())}});
-    m_mesh.updateSelf([](NodeRecord &record) { record.m_leaving = true; });
 }
 
 void RelayNode::abort()
@@ -170,7 +169,7 @@
     MeshHandlers handlers;
     handlers.m_run = [this](Call call, CallResponder responder) {
         // Another node sends its work elsewhere as soon as it knows that this one leaves.
-        if (m_entryServices.m_stopping) {
+        if (m_mesh.self().m_leaving) {
             responder(Failure{call.m_id, true, false, FailureReason::Unavailable, m_gate.load()});
             return std::uint64_t{0};
         }
@@ -328,6 +327,8 @@
 {
     if (!m_entryServices.m_stopping)
         return;
+    if (!m_mesh.self().m_leaving && now - m_stopRequestedAt > m_settings.m_stop.m_servesOthers)
+        m_mesh.updateSelf([](NodeRecord &record) { record.m_leaving = true; });
     const bool busy = m_gate.activeRuns() > 0 || m_callers.busySessions() > 0;
     const bool early = now - m_stopRequestedAt < m_settings.m_stop.m_shortest;
     if (now - m_stopRequestedAt < m_settings.m_stop.m_longest && (busy || early))
--- a/packages/relay/runtime/relaysettings.h
+++ b/packages/relay/runtime/relaysettings.h
@@ -43,6 +43,9 @@
 {
     /** Shortest time, so that callers have noticed that the node is not ready. */
     std::chrono::milliseconds m_shortest{2600};
+    /** Time for which it goes on to take work for its backend server from other nodes, which would
+     * be without that backend server all the longer otherwise. */
+    std::chrono::milliseconds m_servesOthers{1700};
     /** Time after which it ends whatever still runs. */
     std::chrono::milliseconds m_longest{5500};
 };
