--- a/packages/node/main.cpp
+++ b/packages/node/main.cpp
@@ -2,7 +2,6 @@
 #include "node/node.h"
 #include "platform/run.h"
 
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
@@ -68,14 +67,14 @@
 /** @returns whether the arguments are valid; otherwise the reason has been printed. */
 bool parseArguments(int count, char **values, Arguments &arguments)
 {
-    const poptOption options[] = {
-            {"platform", '\0', POPT_ARG_NONE, &arguments.m_platform, 0,
-             "serve on the platform, with the settings that it has placed", nullptr},
-            {"check", '\0', POPT_ARG_NONE, &arguments.m_check, 0,
-             "check the settings, print all findings and exit", nullptr},
-            {"version", '\0', POPT_ARG_NONE, &arguments.m_version, 0, "print the version and exit",
-             nullptr},
-            POPT_AUTOHELP POPT_TABLEEND};
+    const poptOption options[] = {{"platform", '\0', POPT_ARG_NONE, &arguments.m_platform, 0,
+                                   "serve on the platform, with the settings that it has placed",
+                                   nullptr},
+                                  {"check", '\0', POPT_ARG_NONE, &arguments.m_check, 0,
+                                   "check the settings, print all findings and exit", nullptr},
+                                  {"version", '\0', POPT_ARG_NONE, &arguments.m_version, 0,
+                                   "print the version and exit", nullptr},
+                                  POPT_AUTOHELP POPT_TABLEEND};
     const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
             poptGetContext("chervilmount-node", count, const_cast<const char **>(values), options,
                            0),
--- a/packages/relay/control/backendwatch.cpp
+++ b/packages/relay/control/backendwatch.cpp
@@ -104,8 +104,7 @@
                      {"instance", id},
                      {"effect", nameOf(effect)},
                      {"sequence", std::to_string(m_instances.m_current->m_sequence)},
-                     {"started_at_ms",
-                      std::to_string(m_instances.m_current->m_startedAt.count())},
+                     {"started_at_ms", std::to_string(m_instances.m_current->m_startedAt.count())},
                      {"slots", std::to_string(m_instances.m_current->m_slots)}});
     if (effect == traffic::AnnouncementEffect::Changed) {
         m_gate.useInstance(*m_instances.m_current);
--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -175,10 +175,9 @@
     const TimePoint now = std::chrono::steady_clock::now();
     const bool counts = failure.m_reason == FailureReason::ServerRefused
             || failure.m_reason == FailureReason::Broken;
-    m_services.m_mesh.recordAttempt(node,
-                                    counts ? routing::AttemptResult::Failure
-                                           : routing::AttemptResult::NotCounted,
-                                    m_services.m_settings.m_placement.m_outlier, now);
+    m_services.m_mesh.recordAttempt(
+            node, counts ? routing::AttemptResult::Failure : routing::AttemptResult::NotCounted,
+            m_services.m_settings.m_placement.m_outlier, now);
     m_mayHaveRun = m_mayHaveRun || !failure.m_notRun;
     if (failure.m_arrived)
         ++m_arrivals;
@@ -279,23 +278,22 @@
     for (const std::string &node : m_tried)
         nodes += (nodes.empty() ? "" : ",") + (node.empty() ? "local" : node);
     const std::chrono::duration<double, std::milli> took = now - m_entry.m_arrivedAt;
-    m_services.m_log.write(
-            topic, adapters::LogLevel::Info,
-            {{"event", "request"},
-             {"request", m_entry.m_attempt},
-             {"outcome", nameOf(outcome)},
-             {"status", std::to_string(status)},
-             {"reason", reason},
-             {"route", m_entry.m_route == nullptr ? "" : m_entry.m_route->m_name},
-             {"service", m_entry.m_service},
-             {"organisation", m_entry.m_organisation},
-             {"priority", std::to_string(m_entry.m_priority)},
-             {"nested", m_entry.m_nested ? "true" : "false"},
-             {"admitted_share", std::to_string(m_entry.m_admittedShare)},
-             {"nodes", nodes},
-             {"arrivals", std::to_string(m_arrivals)},
-             {"took_ms", std::to_string(took.count())},
-             {"policy", std::to_string(m_services.m_policy.version())}});
+    m_services.m_log.write(topic, adapters::LogLevel::Info,
+                           {{"event", "request"},
+                            {"request", m_entry.m_attempt},
+                            {"outcome", nameOf(outcome)},
+                            {"status", std::to_string(status)},
+                            {"reason", reason},
+                            {"route", m_entry.m_route == nullptr ? "" : m_entry.m_route->m_name},
+                            {"service", m_entry.m_service},
+                            {"organisation", m_entry.m_organisation},
+                            {"priority", std::to_string(m_entry.m_priority)},
+                            {"nested", m_entry.m_nested ? "true" : "false"},
+                            {"admitted_share", std::to_string(m_entry.m_admittedShare)},
+                            {"nodes", nodes},
+                            {"arrivals", std::to_string(m_arrivals)},
+                            {"took_ms", std::to_string(took.count())},
+                            {"policy", std::to_string(m_services.m_policy.version())}});
 }
 
 bool EntryCall::isIdempotent() const
--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -107,8 +107,8 @@
 {
     if (!request.m_route->m_open && request.m_policy->policy().m_requiresKeys)
         return;
-    const std::int64_t patience = parseNumber(
-            fieldValue(request.m_request, m_services.m_settings.m_headers.m_deadline));
+    const std::int64_t patience =
+            parseNumber(fieldValue(request.m_request, m_services.m_settings.m_headers.m_deadline));
     const std::optional<ParentRun> parent = patience < 0
             ? std::nullopt
             : m_services.m_gate.parentOf(request.m_arrivedAt + Milliseconds(patience));
@@ -181,9 +181,9 @@
 void EntryHandler::refuseOverAllotment(const std::shared_ptr<HttpSession> &session,
                                        EntryRequest request)
 {
-    const Milliseconds wait = std::max(
-            ShortestAllotmentRetryAfter,
-            traffic::timeToToken(m_services.m_rates, request.m_organisation));
+    const Milliseconds wait =
+            std::max(ShortestAllotmentRetryAfter,
+                     traffic::timeToToken(m_services.m_rates, request.m_organisation));
     refuse(session, std::move(request), Outcome::RefusedAllotment, 429,
            "the organisation exceeds its allotment", wait);
 }
@@ -198,8 +198,8 @@
                 request.m_priority, std::chrono::steady_clock::now());
         request.m_admittedShare = decision.m_share;
         if (!decision.m_admitted) {
-            const Milliseconds delay = traffic::retryAfter(
-                    request.m_route->m_targetLatency, decision.m_share, m_services.m_random);
+            const Milliseconds delay = traffic::retryAfter(request.m_route->m_targetLatency,
+                                                           decision.m_share, m_services.m_random);
             refuse(session, std::move(request), Outcome::RefusedOverload, 503,
                    "no room at service " + decision.m_service, delay);
             return;
--- a/packages/relay/frames/framecodec.cpp
+++ b/packages/relay/frames/framecodec.cpp
@@ -50,8 +50,7 @@
     record.m_address = message.address();
     record.m_failureDomain = message.failure_domain();
     record.m_region = message.region();
-    record.m_startedAt =
-            std::chrono::milliseconds(static_cast<std::int64_t>(message.started_at()));
+    record.m_startedAt = std::chrono::milliseconds(static_cast<std::int64_t>(message.started_at()));
     record.m_version = message.version();
     record.m_service = message.service();
     record.m_usable = message.usable();
--- a/packages/relay/http/backendpool.cpp
+++ b/packages/relay/http/backendpool.cpp
@@ -38,15 +38,14 @@
     }
     ++m_connectionsMade;
     auto connection = std::make_shared<HttpClientConnection>(m_context, m_idField,
-                                                          m_settings.m_responseBytes);
+                                                             m_settings.m_responseBytes);
     auto shared = std::make_shared<ConnectionCallback>(std::move(callback));
-    const TimerId timer =
-            m_timers.add(now + m_settings.m_connectTimeout, [connection, shared] {
-                const ConnectionCallback late = std::exchange(*shared, nullptr);
-                connection->close();
-                if (late)
-                    late(nullptr);
-            });
+    const TimerId timer = m_timers.add(now + m_settings.m_connectTimeout, [connection, shared] {
+        const ConnectionCallback late = std::exchange(*shared, nullptr);
+        connection->close();
+        if (late)
+            late(nullptr);
+    });
     connection->connect(m_endpoint, [this, connection, shared, timer](bool connected) {
         m_timers.cancel(timer);
         const ConnectionCallback ready = std::exchange(*shared, nullptr);
--- a/packages/relay/http/httpclientconnection.cpp
+++ b/packages/relay/http/httpclientconnection.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 HttpClientConnection::HttpClientConnection(boost::asio::io_context &context, std::string idField,
-                                     std::size_t maximumResponseBytes)
+                                           std::size_t maximumResponseBytes)
     : m_socket(context)
     , m_idField(std::move(idField))
     , m_maximumResponseBytes(maximumResponseBytes)
@@ -46,21 +46,22 @@
 }
 
 void HttpClientConnection::connect(const boost::asio::ip::tcp::endpoint &endpoint,
-                                std::function<void(bool)> callback)
+                                   std::function<void(bool)> callback)
 {
-    m_socket.async_connect(endpoint, [self = shared_from_this(), callback = std::move(callback)](
-                                             boost::system::error_code error) {
-        if (self->m_closed)
-            return;
-        if (error) {
-            self->close();
-            callback(false);
-            return;
-        }
-        setConnectionOptions(self->m_socket);
-        self->read();
-        callback(true);
-    });
+    m_socket.async_connect(endpoint,
+                           [self = shared_from_this(),
+                            callback = std::move(callback)](boost::system::error_code error) {
+                               if (self->m_closed)
+                                   return;
+                               if (error) {
+                                   self->close();
+                                   callback(false);
+                                   return;
+                               }
+                               setConnectionOptions(self->m_socket);
+                               self->read();
+                               callback(true);
+                           });
 }
 
 void HttpClientConnection::exchange(HttpRequest request, std::string id, Callback callback)
@@ -71,14 +72,14 @@
     m_receivedBytes = false;
     startResponse();
     m_writing = true;
-    http::async_write(m_socket, m_request,
-                      [self = shared_from_this()](boost::system::error_code error,
-                                                  std::size_t /*bytes*/) {
-                          self->m_writing = false;
-                          // The response may still arrive after a failed write; reading decides.
-                          if (error && !self->m_closed && !self->m_reading)
-                              self->finish({});
-                      });
+    http::async_write(
+            m_socket, m_request,
+            [self = shared_from_this()](boost::system::error_code error, std::size_t /*bytes*/) {
+                self->m_writing = false;
+                // The response may still arrive after a failed write; reading decides.
+                if (error && !self->m_closed && !self->m_reading)
+                    self->finish({});
+            });
     read();
 }
 
@@ -101,11 +102,11 @@
     if (m_reading || m_closed)
         return;
     m_reading = true;
-    m_socket.async_read_some(m_buffer.prepare(ReadBytes),
-                             [self = shared_from_this()](boost::system::error_code error,
-                                                         std::size_t bytes) {
-                                 self->received(error, bytes);
-                             });
+    m_socket.async_read_some(
+            m_buffer.prepare(ReadBytes),
+            [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+                self->received(error, bytes);
+            });
 }
 
 void HttpClientConnection::received(boost::system::error_code error, std::size_t bytes)
--- a/packages/relay/http/httpclientconnection.h
+++ b/packages/relay/http/httpclientconnection.h
@@ -45,10 +45,11 @@
      * @param maximumResponseBytes longest accepted body.
      */
     HttpClientConnection(boost::asio::io_context &context, std::string idField,
-                      std::size_t maximumResponseBytes);
+                         std::size_t maximumResponseBytes);
 
     /** Connects; the callback gets whether it succeeded. */
-    void connect(const boost::asio::ip::tcp::endpoint &endpoint, std::function<void(bool)> callback);
+    void connect(const boost::asio::ip::tcp::endpoint &endpoint,
+                 std::function<void(bool)> callback);
 
     /**
      * Sends a request and waits for the response that carries the same identifier; responses with
--- a/packages/relay/http/httpmessage.cpp
+++ b/packages/relay/http/httpmessage.cpp
@@ -13,10 +13,16 @@
 
 bool isConnectionField(std::string_view name)
 {
-    constexpr std::array<std::string_view, 10> Names{
-            "Connection",          "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-            "Proxy-Connection",    "TE",         "Trailer",            "Transfer-Encoding",
-            "Upgrade",             "Content-Length"};
+    constexpr std::array<std::string_view, 10> Names{"Connection",
+                                                     "Keep-Alive",
+                                                     "Proxy-Authenticate",
+                                                     "Proxy-Authorization",
+                                                     "Proxy-Connection",
+                                                     "TE",
+                                                     "Trailer",
+                                                     "Transfer-Encoding",
+                                                     "Upgrade",
+                                                     "Content-Length"};
     return std::any_of(Names.begin(), Names.end(), [name](std::string_view other) {
         return boost::beast::iequals({name.data(), name.size()}, {other.data(), other.size()});
     });
@@ -33,8 +39,8 @@
         // A field that the Connection field names concerns only this connection.
         if (!connection.empty() && http::token_list(fields[http::field::connection]).exists(name))
             continue;
-        result.push_back({std::string(name),
-                          std::string(field.value().data(), field.value().size())});
+        result.push_back(
+                {std::string(name), std::string(field.value().data(), field.value().size())});
     }
     return result;
 }
--- a/packages/relay/http/httpserver.cpp
+++ b/packages/relay/http/httpserver.cpp
@@ -20,9 +20,8 @@
 {
     for (const std::shared_ptr<HttpSession> &session : m_sessions)
         session->checkTimeouts(now);
-    m_sessions.remove_if([](const std::shared_ptr<HttpSession> &session) {
-        return session->isClosed();
-    });
+    m_sessions.remove_if(
+            [](const std::shared_ptr<HttpSession> &session) { return session->isClosed(); });
     accept();
 }
 
@@ -44,11 +43,10 @@
 
 std::size_t HttpServer::busySessions() const
 {
-    return static_cast<std::size_t>(
-            std::count_if(m_sessions.begin(), m_sessions.end(),
-                          [](const std::shared_ptr<HttpSession> &session) {
-                              return !session->isClosed() && session->isBusy();
-                          }));
+    return static_cast<std::size_t>(std::count_if(
+            m_sessions.begin(), m_sessions.end(), [](const std::shared_ptr<HttpSession> &session) {
+                return !session->isClosed() && session->isBusy();
+            }));
 }
 
 void HttpServer::accept()
@@ -62,8 +60,8 @@
                     return;
                 m_accepting = false;
                 if (!error) {
-                    m_sessions.push_back(std::make_shared<HttpSession>(std::move(socket), m_limits,
-                                                                       m_handler));
+                    m_sessions.push_back(
+                            std::make_shared<HttpSession>(std::move(socket), m_limits, m_handler));
                     m_sessions.back()->start(std::chrono::steady_clock::now());
                     accept();
                 }
--- a/packages/relay/http/httpsession.cpp
+++ b/packages/relay/http/httpsession.cpp
@@ -100,11 +100,11 @@
     if ((m_handling || m_writing) && m_buffer.size() > MaximumReadAhead)
         return;
     m_reading = true;
-    m_socket.async_read_some(m_buffer.prepare(ReadBytes),
-                             [self = shared_from_this()](boost::system::error_code error,
-                                                         std::size_t bytes) {
-                                 self->received(error, bytes);
-                             });
+    m_socket.async_read_some(
+            m_buffer.prepare(ReadBytes),
+            [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+                self->received(error, bytes);
+            });
 }
 
 void HttpSession::received(boost::system::error_code error, std::size_t bytes)
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -182,44 +182,49 @@
         const std::string &healthPath,
         std::function<void(std::optional<traffic::InstanceAnnouncement>)> callback)
 {
-    m_pool.acquire(true, [this, healthPath, callback = std::move(callback)](
-                                 std::shared_ptr<HttpClientConnection> connection) {
-        if (!connection) {
-            callback(std::nullopt);
-            return;
-        }
-        HttpRequest request;
-        request.version(11);
-        request.method(http::verb::get);
-        request.target({healthPath.data(), healthPath.size()});
-        request.set(http::field::host, m_settings.m_backendAddress);
-        auto done = std::make_shared<bool>(false);
-        const TimerId timer = m_timers.add(
-                std::chrono::steady_clock::now() + StatusCheckTimeout, [connection, done, callback] {
-                    if (std::exchange(*done, true))
-                        return;
-                    connection->close();
+    m_pool.acquire(
+            true,
+            [this, healthPath,
+             callback = std::move(callback)](std::shared_ptr<HttpClientConnection> connection) {
+                if (!connection) {
                     callback(std::nullopt);
-                });
-        connection->exchange(
-                std::move(request), {},
-                [this, connection, callback, done, timer](const ExchangeResult &result) {
-                    m_timers.cancel(timer);
-                    if (std::exchange(*done, true))
-                        return;
-                    m_pool.release(connection);
-                    traffic::InstanceAnnouncement instance;
-                    instance.m_id = fieldValue(result.m_response, m_settings.m_headers.m_instance);
-                    instance.m_slots =
-                            slotsOf(fieldValue(result.m_response, m_settings.m_headers.m_load));
-                    instance.m_service = m_settings.m_service;
-                    instance.m_address = m_settings.m_backendAddress;
-                    const bool usable = result.m_status == ExchangeStatus::Answered
-                            && result.m_response.result() == http::status::ok
-                            && !instance.m_id.empty() && instance.m_slots > 0;
-                    callback(usable ? std::make_optional(std::move(instance)) : std::nullopt);
-                });
-    });
+                    return;
+                }
+                HttpRequest request;
+                request.version(11);
+                request.method(http::verb::get);
+                request.target({healthPath.data(), healthPath.size()});
+                request.set(http::field::host, m_settings.m_backendAddress);
+                auto done = std::make_shared<bool>(false);
+                const TimerId timer =
+                        m_timers.add(std::chrono::steady_clock::now() + StatusCheckTimeout,
+                                     [connection, done, callback] {
+                                         if (std::exchange(*done, true))
+                                             return;
+                                         connection->close();
+                                         callback(std::nullopt);
+                                     });
+                connection->exchange(
+                        std::move(request), {},
+                        [this, connection, callback, done, timer](const ExchangeResult &result) {
+                            m_timers.cancel(timer);
+                            if (std::exchange(*done, true))
+                                return;
+                            m_pool.release(connection);
+                            traffic::InstanceAnnouncement instance;
+                            instance.m_id =
+                                    fieldValue(result.m_response, m_settings.m_headers.m_instance);
+                            instance.m_slots = slotsOf(
+                                    fieldValue(result.m_response, m_settings.m_headers.m_load));
+                            instance.m_service = m_settings.m_service;
+                            instance.m_address = m_settings.m_backendAddress;
+                            const bool usable = result.m_status == ExchangeStatus::Answered
+                                    && result.m_response.result() == http::status::ok
+                                    && !instance.m_id.empty() && instance.m_slots > 0;
+                            callback(usable ? std::make_optional(std::move(instance))
+                                            : std::nullopt);
+                        });
+            });
 }
 
 void LocalGate::start(std::uint64_t number)
@@ -245,8 +250,12 @@
             return;
         }
         if (!connection) {
-            finish(number, Failure{found->second.m_call.m_id, !found->second.m_sent,
-                                   found->second.m_sent, FailureReason::Unavailable, {}});
+            finish(number,
+                   Failure{found->second.m_call.m_id,
+                           !found->second.m_sent,
+                           found->second.m_sent,
+                           FailureReason::Unavailable,
+                           {}});
             return;
         }
         send(number, std::move(connection));
@@ -260,8 +269,9 @@
     run.m_sent = true;
     run.m_connection = connection;
     HttpRequest request = backendRequest(run, std::chrono::steady_clock::now());
-    connection->exchange(std::move(request), run.m_call.m_attempt,
-                         [this, number](ExchangeResult result) { ended(number, std::move(result)); });
+    connection->exchange(
+            std::move(request), run.m_call.m_attempt,
+            [this, number](ExchangeResult result) { ended(number, std::move(result)); });
 }
 
 HttpRequest LocalGate::backendRequest(const Run &run, TimePoint now) const
@@ -296,7 +306,8 @@
     if (found == m_runs.end())
         return;
     Run &run = found->second;
-    const std::shared_ptr<HttpClientConnection> connection = std::exchange(run.m_connection, nullptr);
+    const std::shared_ptr<HttpClientConnection> connection =
+            std::exchange(run.m_connection, nullptr);
     if (result.m_status == ExchangeStatus::Answered) {
         m_pool.release(connection);
         finish(number, judge(run, std::move(result.m_response)));
--- a/packages/relay/link/frameconnection.cpp
+++ b/packages/relay/link/frameconnection.cpp
@@ -56,16 +56,16 @@
 
 void FrameConnection::read()
 {
-    m_socket.async_read_some(m_input.prepare(ReadBytes),
-                             [self = shared_from_this()](boost::system::error_code error,
-                                                         std::size_t bytes) {
-                                 if (self->m_closed)
-                                     return;
-                                 if (error)
-                                     self->fail();
-                                 else
-                                     self->received(bytes);
-                             });
+    m_socket.async_read_some(
+            m_input.prepare(ReadBytes),
+            [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+                if (self->m_closed)
+                    return;
+                if (error)
+                    self->fail();
+                else
+                    self->received(bytes);
+            });
 }
 
 void FrameConnection::received(std::size_t bytes)
@@ -102,21 +102,21 @@
 void FrameConnection::write()
 {
     m_writing.swap(m_queued);
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
-                             [self = shared_from_this()](boost::system::error_code error,
-                                                         std::size_t /*bytes*/) {
-                                 if (self->m_closed)
-                                     return;
-                                 if (error) {
-                                     self->fail();
-                                     return;
-                                 }
-                                 self->m_writing.clear();
-                                 if (self->m_writing.capacity() > KeptBufferBytes)
-                                     self->m_writing.shrink_to_fit();
-                                 if (!self->m_queued.empty())
-                                     self->write();
-                             });
+    boost::asio::async_write(
+            m_socket, boost::asio::buffer(m_writing),
+            [self = shared_from_this()](boost::system::error_code error, std::size_t /*bytes*/) {
+                if (self->m_closed)
+                    return;
+                if (error) {
+                    self->fail();
+                    return;
+                }
+                self->m_writing.clear();
+                if (self->m_writing.capacity() > KeptBufferBytes)
+                    self->m_writing.shrink_to_fit();
+                if (!self->m_queued.empty())
+                    self->write();
+            });
 }
 
 void FrameConnection::fail()
--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -202,15 +202,15 @@
 
 void Mesh::accept()
 {
-    m_acceptor.async_accept([this, alive = std::weak_ptr<bool>(m_alive)](
-                                    boost::system::error_code error,
-                                    boost::asio::ip::tcp::socket socket) {
-        if (alive.expired() || m_closed || error == boost::asio::error::operation_aborted)
-            return;
-        if (!error)
-            startSession(std::move(socket));
-        accept();
-    });
+    m_acceptor.async_accept(
+            [this, alive = std::weak_ptr<bool>(m_alive)](boost::system::error_code error,
+                                                         boost::asio::ip::tcp::socket socket) {
+                if (alive.expired() || m_closed || error == boost::asio::error::operation_aborted)
+                    return;
+                if (!error)
+                    startSession(std::move(socket));
+                accept();
+            });
 }
 
 void Mesh::startSession(boost::asio::ip::tcp::socket socket)
@@ -305,28 +305,28 @@
         socket->close(ignored);
     });
     const std::string node = peer.m_record.m_node;
-    socket->async_connect(endpoint, [this, socket, timer, node,
-                                     alive = std::weak_ptr<bool>(m_alive)](
-                                            boost::system::error_code error) {
-        if (alive.expired() || m_closed)
-            return;
-        m_timers.cancel(timer);
-        Peer *found = find(node);
-        if (found == nullptr)
-            return;
-        found->m_connecting = false;
-        if (!error) {
-            linked(*found, std::move(*socket));
-            return;
-        }
-        const TimePoint failedAt = std::chrono::steady_clock::now();
-        const bool longLost = failedAt - found->m_lostAt > LongLost;
-        found->m_redialDelay =
-                longLost ? LongLostRedialDelay
-                         : std::clamp(found->m_redialDelay * 2, FirstRedialDelay,
-                                      LongestRedialDelay);
-        found->m_nextDial = failedAt + found->m_redialDelay;
-    });
+    socket->async_connect(endpoint,
+                          [this, socket, timer, node,
+                           alive = std::weak_ptr<bool>(m_alive)](boost::system::error_code error) {
+                              if (alive.expired() || m_closed)
+                                  return;
+                              m_timers.cancel(timer);
+                              Peer *found = find(node);
+                              if (found == nullptr)
+                                  return;
+                              found->m_connecting = false;
+                              if (!error) {
+                                  linked(*found, std::move(*socket));
+                                  return;
+                              }
+                              const TimePoint failedAt = std::chrono::steady_clock::now();
+                              const bool longLost = failedAt - found->m_lostAt > LongLost;
+                              found->m_redialDelay = longLost
+                                      ? LongLostRedialDelay
+                                      : std::clamp(found->m_redialDelay * 2, FirstRedialDelay,
+                                                   LongestRedialDelay);
+                              found->m_nextDial = failedAt + found->m_redialDelay;
+                          });
 }
 
 void Mesh::linked(Peer &peer, boost::asio::ip::tcp::socket socket)
@@ -413,7 +413,7 @@
 {
     return peer.m_link && peer.m_greeted
             && now - peer.m_heardAt
-                    < std::min(statusInterval(peer.m_record) * MissingUntilStale, LongestSilence);
+            < std::min(statusInterval(peer.m_record) * MissingUntilStale, LongestSilence);
 }
 
 std::chrono::milliseconds Mesh::statusInterval(const NodeRecord &other) const
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -60,8 +60,8 @@
     , m_mesh(context, m_timers, ownRecord(m_settings, startedAt), meshHandlers())
     , m_loads(m_settings.m_treeAdmission, m_gate)
     , m_registry(store, m_mesh, m_timers, m_log, m_random)
-    , m_entryServices{m_settings, m_timers,   m_policy, m_gate,   m_mesh,      m_counters, m_log,
-                      m_rates,    m_loads,  m_repeats, m_splits, m_random}
+    , m_entryServices{m_settings, m_timers, m_policy, m_gate,    m_mesh,   m_counters,
+                      m_log,      m_rates,  m_loads,  m_repeats, m_splits, m_random}
     , m_entry(m_entryServices)
     , m_platformLimits(platformLimits())
     , m_callers(context, m_settings.m_callerAddress, m_callerLimits,
@@ -106,10 +106,11 @@
     m_store.followPolicy(
             [this](const PolicyDocument &document) { m_policy.offer(document, "store"); });
     m_registry.start();
-    logState("start", {{"node", m_settings.m_node},
-                       {"service", m_settings.m_service},
-                       {"failure_domain", m_settings.m_failureDomain},
-                       {"address", m_settings.m_peerAddress}});
+    logState("start",
+             {{"node", m_settings.m_node},
+              {"service", m_settings.m_service},
+              {"failure_domain", m_settings.m_failureDomain},
+              {"address", m_settings.m_peerAddress}});
     tick();
 }
 
@@ -119,8 +120,9 @@
         return;
     m_entryServices.m_stopping = true;
     m_stopRequestedAt = std::chrono::steady_clock::now();
-    logState("stopping", {{"running", std::to_string(m_gate.activeRuns())},
-                          {"sessions", std::to_string(m_callers.sessions())}});
+    logState("stopping",
+             {{"running", std::to_string(m_gate.activeRuns())},
+              {"sessions", std::to_string(m_callers.sessions())}});
 }
 
 void RelayNode::abort()
@@ -156,8 +158,8 @@
     gauges.m_backendConnections = m_gate.connectionsMade();
     gauges.m_ready = isReady();
     for (const auto &[service, state] : m_loads.admission().m_services)
-        gauges.m_admitted.emplace(service,
-                                  std::vector<double>(state.m_shares.begin(), state.m_shares.end()));
+        gauges.m_admitted.emplace(
+                service, std::vector<double>(state.m_shares.begin(), state.m_shares.end()));
     Counters counters = m_counters;
     counters.m_storeCalls = m_store.m_calls;
     counters.m_storeFailures = m_store.m_failures;
@@ -180,8 +182,7 @@
         Status status;
         status.m_load = m_gate.load();
         status.m_policyVersion = m_policy.version();
-        status.m_demand =
-                m_loads.demandFor(receiver, m_mesh, std::chrono::steady_clock::now());
+        status.m_demand = m_loads.demandFor(receiver, m_mesh, std::chrono::steady_clock::now());
         if (withProfile)
             status.m_profile = m_gate.profile();
         return status;
@@ -281,8 +282,7 @@
     recordProfile(now);
     std::size_t sharing = 1;
     for (const auto &[node, peer] : m_mesh.peers()) {
-        if (peer->m_link || now - peer->m_lostAt < ShareKeptFor
-            || peer->m_lostAt == TimePoint())
+        if (peer->m_link || now - peer->m_lostAt < ShareKeptFor || peer->m_lostAt == TimePoint())
             ++sharing;
     }
     m_rates.m_nodes = static_cast<double>(sharing);
--- a/packages/relay/telemetry/boundedlog.cpp
+++ b/packages/relay/telemetry/boundedlog.cpp
@@ -14,8 +14,10 @@
     double m_atOnce;
 };
 
-constexpr std::array<Bound, LogTopics> Bounds{
-        {{"failure", 20.0, 60.0}, {"request", 2.0, 10.0}, {"run", 10.0, 40.0}, {"state", 20.0, 100.0}}};
+constexpr std::array<Bound, LogTopics> Bounds{{{"failure", 20.0, 60.0},
+                                               {"request", 2.0, 10.0},
+                                               {"run", 10.0, 40.0},
+                                               {"state", 20.0, 100.0}}};
 
 } // namespace
 
@@ -31,8 +33,7 @@
     Allowance &allowance = m_allowances.at(index);
     const double elapsed = std::chrono::duration<double>(now - allowance.m_refilledAt).count();
     allowance.m_refilledAt = now;
-    allowance.m_tokens =
-            std::min(bound.m_atOnce, allowance.m_tokens + elapsed * bound.m_perSecond);
+    allowance.m_tokens = std::min(bound.m_atOnce, allowance.m_tokens + elapsed * bound.m_perSecond);
     if (allowance.m_tokens < 1.0) {
         ++m_suppressed;
         return false;
--- a/packages/relay/telemetry/counters.cpp
+++ b/packages/relay/telemetry/counters.cpp
@@ -4,10 +4,15 @@
 
 const char *nameOf(Outcome outcome)
 {
-    constexpr std::array<const char *, Outcomes> Names{
-            "served",          "server-failure", "refused-overload", "refused-unavailable",
-            "refused-allotment", "refused-policy", "unknown",         "timeout",
-            "abandoned"};
+    constexpr std::array<const char *, Outcomes> Names{"served",
+                                                       "server-failure",
+                                                       "refused-overload",
+                                                       "refused-unavailable",
+                                                       "refused-allotment",
+                                                       "refused-policy",
+                                                       "unknown",
+                                                       "timeout",
+                                                       "abandoned"};
     return Names.at(static_cast<std::size_t>(outcome));
 }
 
--- a/packages/relay/timers/timerqueue.cpp
+++ b/packages/relay/timers/timerqueue.cpp
@@ -34,12 +34,13 @@
         return;
     m_armedFor = next;
     m_timer.expires_at(next);
-    m_timer.async_wait([this, alive = std::weak_ptr<bool>(m_alive)](boost::system::error_code error) {
-        if (error || alive.expired())
-            return;
-        m_armedFor = TimePoint::max();
-        fire();
-    });
+    m_timer.async_wait(
+            [this, alive = std::weak_ptr<bool>(m_alive)](boost::system::error_code error) {
+                if (error || alive.expired())
+                    return;
+                m_armedFor = TimePoint::max();
+                fire();
+            });
 }
 
 void TimerQueue::fire()
--- a/packages/traffic/allotment/rateshare.cpp
+++ b/packages/traffic/allotment/rateshare.cpp
@@ -25,8 +25,7 @@
     share.m_demand *= std::exp(-elapsed / DemandSeconds);
     const double full = std::max(1.0, share.m_burst / shares.m_nodes);
     if (share.m_tokens < full) {
-        share.m_tokens =
-                std::min(full, share.m_tokens + elapsed * share.m_rate / shares.m_nodes);
+        share.m_tokens = std::min(full, share.m_tokens + elapsed * share.m_rate / shares.m_nodes);
         return;
     }
     // Tokens above the node's own part of the burst came from other nodes, whose buckets have been
@@ -38,7 +37,7 @@
 {
     const auto found = shares.m_organisations.find(organisation);
     return found == shares.m_organisations.end() || found->second.m_rate <= 0 ? nullptr
-                                                                               : &found->second;
+                                                                              : &found->second;
 }
 
 } // namespace
@@ -114,8 +113,7 @@
     const double spare = share->m_tokens - std::min(1.0, share->m_demand);
     // A whole token is given if there is one: the asking node has requests that wait for it.
     const double least = share->m_tokens >= 1.0 ? 1.0 : 0.0;
-    const double given =
-            std::min(wanted, std::max(least, spare * shares.m_settings.m_givenShare));
+    const double given = std::min(wanted, std::max(least, spare * shares.m_settings.m_givenShare));
     share->m_tokens -= given;
     return given;
 }
--- a/packages/traffic/allotment/rateshare.h
+++ b/packages/traffic/allotment/rateshare.h
@@ -42,9 +42,9 @@
  * holds a bucket with 1/N of rate and burst, and nodes short of tokens get some from others. Tokens
  * are subtracted where they are given before they are added where they arrive, so that a lost
  * message loses tokens and never makes any. For every window w, requests admitted by all nodes
- * <= burst + rate * w + received, as long as N counts every node that runs. The last term are tokens
- * above a node's own part of the burst; they expire with a time constant of one second, and a node
- * asks for no more than one second of its demand.
+ * <= burst + rate * w + received, as long as N counts every node that runs. The last term are
+ * tokens above a node's own part of the burst; they expire with a time constant of one second, and
+ * a node asks for no more than one second of its demand.
  */
 struct RateShares
 {
--- a/packages/traffic/gate/gate.cpp
+++ b/packages/traffic/gate/gate.cpp
@@ -34,8 +34,8 @@
 std::chrono::nanoseconds allowedWait(const Gate &gate, const ArrivingRun &run,
                                      std::chrono::steady_clock::time_point now)
 {
-    const double share = run.m_nested ? gate.m_settings.m_nestedWaitShare
-                                      : gate.m_settings.m_callerWaitShare;
+    const double share =
+            run.m_nested ? gate.m_settings.m_nestedWaitShare : gate.m_settings.m_callerWaitShare;
     const double target = Seconds(run.m_targetLatency).count() * share;
     const double left =
             Seconds(run.m_deadline - now).count() - gate.m_holdSeconds * NeededHoldShare;
@@ -89,8 +89,8 @@
     if (hold.count() <= 0)
         return;
     const double seconds = Seconds(hold).count();
-    gate.m_holdSeconds += gate.m_holdSeconds <= 0.0 ? seconds
-                                                    : (seconds - gate.m_holdSeconds) * HoldWeight;
+    gate.m_holdSeconds +=
+            gate.m_holdSeconds <= 0.0 ? seconds : (seconds - gate.m_holdSeconds) * HoldWeight;
 }
 
 std::optional<std::uint64_t> startNext(Gate &gate, std::chrono::steady_clock::time_point now)
--- a/packages/traffic/instance/instanceregister.cpp
+++ b/packages/traffic/instance/instanceregister.cpp
@@ -28,7 +28,8 @@
     departed = std::max(departed, startedAt);
     while (instances.m_departed.size() > RememberedDepartures) {
         auto oldest = instances.m_departed.begin();
-        for (auto entry = instances.m_departed.begin(); entry != instances.m_departed.end(); ++entry) {
+        for (auto entry = instances.m_departed.begin(); entry != instances.m_departed.end();
+             ++entry) {
             if (entry->second < oldest->second)
                 oldest = entry;
         }
--- a/packages/traffic/placement/placement.cpp
+++ b/packages/traffic/placement/placement.cpp
@@ -15,7 +15,8 @@
 
 double usedShare(const Target &target)
 {
-    const double runs = target.m_load.m_running + target.m_load.m_waiting + target.m_sentSinceReport;
+    const double runs =
+            target.m_load.m_running + target.m_load.m_waiting + target.m_sentSinceReport;
     return (runs + 1.0) / std::max(1, target.m_load.m_limit);
 }
 
@@ -41,8 +42,7 @@
 Cost costOf(const Target &target, double unknownHold, bool goesFirst,
             const PlacementSettings &settings)
 {
-    const double hold =
-            target.m_load.m_holdSeconds > 0 ? target.m_load.m_holdSeconds : unknownHold;
+    const double hold = target.m_load.m_holdSeconds > 0 ? target.m_load.m_holdSeconds : unknownHold;
     Cost cost;
     const double waitShare = goesFirst ? settings.m_firstWaitShare : 1.0;
     cost.m_waitSeconds = std::max(0.0, usedShare(target) - 1.0) * hold * waitShare;
@@ -86,8 +86,9 @@
     }
     if (!best)
         return std::nullopt;
-    return Placement{*best, std::chrono::duration_cast<std::chrono::nanoseconds>(
-                                    Seconds(bestCost.m_waitSeconds))};
+    return Placement{
+            *best,
+            std::chrono::duration_cast<std::chrono::nanoseconds>(Seconds(bestCost.m_waitSeconds))};
 }
 
 } // namespace chervilmount::traffic
--- a/packages/traffic/profile/callprofile.cpp
+++ b/packages/traffic/profile/callprofile.cpp
@@ -81,8 +81,7 @@
 
 void ageProfile(CallProfile &profile, std::chrono::nanoseconds elapsed)
 {
-    const double factor =
-            std::exp(-std::chrono::duration<double>(elapsed).count() / MemorySeconds);
+    const double factor = std::exp(-std::chrono::duration<double>(elapsed).count() / MemorySeconds);
     for (auto &[route, observed] : profile) {
         // A few runs are kept, so that a route that is seldom used is not forgotten.
         if (observed.m_runs * factor < KeptRuns)
--- a/packages/traffic/profile/callprofile.h
+++ b/packages/traffic/profile/callprofile.h
@@ -32,8 +32,7 @@
  * expectation-maximisation estimate for a sum of Poisson processes (Dempster, Laird, Rubin 1977).
  * Since the mix of runs varies, the estimates converge to the routes that do make the calls.
  */
-void recordUnassignedCall(CallProfile &profile, const ActiveRuns &active,
-                          const std::string &route);
+void recordUnassignedCall(CallProfile &profile, const ActiveRuns &active, const std::string &route);
 
 /** Counts the end of a run. @param lasted time for which it was at the backend server. */
 void recordRun(CallProfile &profile, const std::string &route, std::chrono::nanoseconds lasted);
--- a/packages/traffic/treeadmission/treeadmission.cpp
+++ b/packages/traffic/treeadmission/treeadmission.cpp
@@ -8,7 +8,8 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/** Longest step of the correction; a node that was paused must not act on one old value for long. */
+/** Longest step of the correction; a node that was paused must not act on one old value for long.
+ */
 constexpr double LongestStepSeconds = 0.3;
 /** Time in which the correction returns to 1 while nothing is shed. */
 constexpr double CorrectionFadeSeconds = 10.0;
@@ -61,10 +62,9 @@
     state.m_use += (use - state.m_use) * std::min(1.0, step / UseAveragingSeconds);
     double budget = load.m_slots * settings.m_target * state.m_correction;
     const bool sheds = sumOf(demand) > budget;
-    state.m_correction += sheds
-            ? settings.m_correctionGain
+    state.m_correction += sheds ? settings.m_correctionGain
                     * (settings.m_target - std::min(state.m_use, LargestCountedUse)) * step
-            : (1.0 - state.m_correction) * step / CorrectionFadeSeconds;
+                                : (1.0 - state.m_correction) * step / CorrectionFadeSeconds;
     state.m_correction =
             std::clamp(state.m_correction, settings.m_leastCorrection, settings.m_mostCorrection);
     if (state.m_use > settings.m_overloaded)
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -200,8 +200,8 @@
     int refused = 0;
     for (int request = 0; request < 60; ++request) {
         const int status = nodes.m_fleet
-                                   .request(request % 2 == 0 ? nodes.m_first : nodes.m_second, small,
-                                            "s" + std::to_string(request))
+                                   .request(request % 2 == 0 ? nodes.m_first : nodes.m_second,
+                                            small, "s" + std::to_string(request))
                                    .m_status;
         served += status == 200 ? 1 : 0;
         refused += status == 429 ? 1 : 0;
--- a/tests/platform/lifecycle_test.cpp
+++ b/tests/platform/lifecycle_test.cpp
@@ -156,12 +156,14 @@
 {
     Fleet fleet;
     startTwo(fleet);
-    fleet.configure(4, R"(["bad","slips.example","/slips/","sometimes",1.0,1.0,2,null,2,false,"absent"])");
+    fleet.configure(
+            4, R"(["bad","slips.example","/slips/","sometimes",1.0,1.0,2,null,2,false,"absent"])");
     fleet.runFor(600ms);
     CHECK(fleet.m_nodes[0]->m_node->policyVersion() == 1);
     fleet.configure(6);
     REQUIRE(fleet.runUntil([&fleet] { return fleet.m_nodes[0]->m_node->policyVersion() == 6; }));
-    fleet.configure(3, R"(["other","other.example","/x/","idempotent",1.0,1.0,2,null,2,false,"slipdesk"])");
+    fleet.configure(
+            3, R"(["other","other.example","/x/","idempotent",1.0,1.0,2,null,2,false,"slipdesk"])");
     fleet.runFor(600ms);
     CHECK(fleet.m_nodes[0]->m_node->policyVersion() == 6);
     CHECK(fleet.request(*fleet.m_nodes[0], {}, "a1").m_status == 200);
@@ -172,7 +174,9 @@
 {
     Fleet fleet;
     startTwo(fleet);
-    fleet.configure(2, R"(["order","slips.example","/orders/","idempotent",1.0,1.0,2,null,2,false,"slipdesk"])");
+    fleet.configure(
+            2,
+            R"(["order","slips.example","/orders/","idempotent",1.0,1.0,2,null,2,false,"slipdesk"])");
     fleet.runFor(2s);
     for (const std::unique_ptr<FleetNode> &node : fleet.m_nodes)
         CHECK(fleet.request(*node, {}, "a-" + node->m_name).m_status == 404);
--- a/tests/platform/standin/backend.cpp
+++ b/tests/platform/standin/backend.cpp
@@ -23,16 +23,16 @@
 std::string Backend::announcement(const std::string &state, int sequence, std::int64_t born) const
 {
     return R"({"service":")" + m_service + R"(","address":")" + m_address
-            + R"(","zone":"z","version":"v1","slots":)" + std::to_string(m_slots)
-            + R"(,"state":")" + state + R"(","cold_remaining_s":0,"sequence":)"
-            + std::to_string(sequence) + R"(,"born":)" + std::to_string(born) + "}";
+            + R"(","zone":"z","version":"v1","slots":)" + std::to_string(m_slots) + R"(,"state":")"
+            + state + R"(","cold_remaining_s":0,"sequence":)" + std::to_string(sequence)
+            + R"(,"born":)" + std::to_string(born) + "}";
 }
 
 int Backend::runs(const std::string &attempt) const
 {
-    return static_cast<int>(std::count_if(
-            m_runs.begin(), m_runs.end(),
-            [&attempt](const BackendRun &run) { return run.m_attempt == attempt; }));
+    return static_cast<int>(
+            std::count_if(m_runs.begin(), m_runs.end(),
+                          [&attempt](const BackendRun &run) { return run.m_attempt == attempt; }));
 }
 
 void Backend::handle(const Session &session, HttpRequest request)
@@ -55,7 +55,7 @@
     }
     const auto deadline = std::chrono::steady_clock::now()
             + std::chrono::milliseconds(
-                    parseNumber(fieldValue(request, "X-Chervilmount-Deadline-Ms")));
+                                  parseNumber(fieldValue(request, "X-Chervilmount-Deadline-Ms")));
     m_runs.push_back({attempt, std::move(request)});
     ++m_running;
     m_largestRunning = std::max(m_largestRunning, m_running);
--- a/tests/platform/standin/fleet.cpp
+++ b/tests/platform/standin/fleet.cpp
@@ -38,8 +38,8 @@
 void Fleet::restart(FleetNode &node)
 {
     node.m_stopped = false;
-    node.m_store = std::make_unique<platform::StoreClient>(m_context, node.m_settings.m_store,
-                                                           ++m_seed);
+    node.m_store =
+            std::make_unique<platform::StoreClient>(m_context, node.m_settings.m_store, ++m_seed);
     PlatformParsers parsers;
     parsers.m_policy = platform::parsePolicyDocument;
     parsers.m_announcement = [](const HttpRequest &request) {
@@ -142,30 +142,28 @@
                                                   std::optional<CallerResponse> &response)
 {
     auto connection = std::make_shared<HttpClientConnection>(m_context, "", 1UL << 20U);
-    connection->connect(
-            parseEndpoint(node.m_settings.m_relay.m_callerAddress),
-            [this, connection, request, attempt, &response](bool connected) {
-                if (!connected) {
-                    response.emplace();
-                    return;
-                }
-                connection->exchange(makeRequest(request, attempt), {},
-                                     [&response](const ExchangeResult &result) {
-                                         response.emplace();
-                                         if (result.m_status != ExchangeStatus::Answered)
-                                             return;
-                                         const HttpResponse &answer = result.m_response;
-                                         response->m_status =
-                                                 static_cast<int>(answer.result_int());
-                                         response->m_body = answer.body();
-                                         response->m_seal =
-                                                 fieldValue(answer, "X-Chervilmount-Server-Seal");
-                                         response->m_attempt =
-                                                 fieldValue(answer, "X-Chervilmount-Attempt-Id");
-                                         response->m_retryAfter =
-                                                 fieldValue(answer, "Retry-After");
-                                     });
-            });
+    connection->connect(parseEndpoint(node.m_settings.m_relay.m_callerAddress),
+                        [this, connection, request, attempt, &response](bool connected) {
+                            if (!connected) {
+                                response.emplace();
+                                return;
+                            }
+                            connection->exchange(
+                                    makeRequest(request, attempt), {},
+                                    [&response](const ExchangeResult &result) {
+                                        response.emplace();
+                                        if (result.m_status != ExchangeStatus::Answered)
+                                            return;
+                                        const HttpResponse &answer = result.m_response;
+                                        response->m_status = static_cast<int>(answer.result_int());
+                                        response->m_body = answer.body();
+                                        response->m_seal =
+                                                fieldValue(answer, "X-Chervilmount-Server-Seal");
+                                        response->m_attempt =
+                                                fieldValue(answer, "X-Chervilmount-Attempt-Id");
+                                        response->m_retryAfter = fieldValue(answer, "Retry-After");
+                                    });
+                        });
     return connection;
 }
 
--- a/tests/platform/standin/rowstore.cpp
+++ b/tests/platform/standin/rowstore.cpp
@@ -54,17 +54,15 @@
 
 std::string freeAddress(boost::asio::io_context &context)
 {
-    boost::asio::ip::tcp::acceptor acceptor(
-            context, {boost::asio::ip::address_v4::loopback(), 0});
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
     return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
 RowStore::RowStore(boost::asio::io_context &context)
     : m_timers(context)
     , m_address(freeAddress(context))
-    , m_server(context, m_address, m_limits, [this](const Session &session, HttpRequest request) {
-        handle(session, request);
-    })
+    , m_server(context, m_address, m_limits,
+               [this](const Session &session, HttpRequest request) { handle(session, request); })
 {
 }
 
@@ -200,7 +198,10 @@
 json::object RowStore::rowJson(const std::string &table, const std::string &key) const
 {
     const Row &row = m_tables.at(table).at(key);
-    return {{"table", table}, {"part", ""}, {"key", key}, {"value", row.m_value},
+    return {{"table", table},
+            {"part", ""},
+            {"key", key},
+            {"value", row.m_value},
             {"ver", row.m_version}};
 }
 
--- a/tests/traffic/rateshare_test.cpp
+++ b/tests/traffic/rateshare_test.cpp
@@ -136,8 +136,8 @@
         const int count = arrivals(fleet.random());
         for (int request = 0; request < count; ++request) {
             // Four of sixteen nodes get 60 % of the requests.
-            const std::size_t node = fleet.random()() % 10 < 6 ? fleet.random()() % 4
-                                                                : fleet.random()() % 16;
+            const std::size_t node =
+                    fleet.random()() % 10 < 6 ? fleet.random()() % 4 : fleet.random()() % 16;
             const bool admitted = fleet.request(node, now).has_value();
             // The first seconds fill the buckets.
             if (tick < 5000)
--- a/tests/traffic/treeadmission_test.cpp
+++ b/tests/traffic/treeadmission_test.cpp
@@ -127,11 +127,9 @@
 
     void update(TimePoint now)
     {
-        const double waiting =
-                static_cast<double>(std::count_if(m_waiting.begin(), m_waiting.end(),
-                                                  [now](const Tree &tree) {
-                                                      return tree.m_callAt <= now;
-                                                  }));
+        const double waiting = static_cast<double>(
+                std::count_if(m_waiting.begin(), m_waiting.end(),
+                              [now](const Tree &tree) { return tree.m_callAt <= now; }));
         const ServiceLoad load{static_cast<double>(m_slots),
                                static_cast<double>(m_running.size()) + waiting};
         m_largestUse = std::max(m_largestUse, load.m_runs / load.m_slots);
@@ -152,7 +150,9 @@
 /** Call trees of the payroll site on the deepest service: mean load 73 % of 76 slots. */
 std::vector<Kind> payrollKinds()
 {
-    return {{"print", 0, 25.0, 8, 55ms}, {"lookup", 1, 72.0, 8, 55ms}, {"record", 1, 14.0, 1, 880ms}};
+    return {{"print", 0, 25.0, 8, 55ms},
+            {"lookup", 1, 72.0, 8, 55ms},
+            {"record", 1, 14.0, 1, 880ms}};
 }
 
 double part(int count, int of)
