--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -73,11 +73,9 @@
         return;
     }
     const std::string node = targets[placement->m_index]->m_node;
-    const traffic::GateSettings &gate = m_services.m_settings.m_gate;
-    const double waitShare = m_entry.m_nested ? gate.m_nestedWaitShare : gate.m_callerWaitShare;
     if (m_arrivals == 0
         && std::chrono::duration<double>(placement->m_expectedWait)
-                > m_entry.m_route->m_targetLatency * waitShare) {
+                > m_entry.m_route->m_targetLatency * allowedWaitShare()) {
         refuseWithoutRoom("expected wait too long");
         return;
     }
@@ -139,7 +137,13 @@
     call.m_priority = m_entry.m_priority;
     call.m_nested = m_entry.m_nested;
     call.m_organisation = m_entry.m_organisation;
-    call.m_targetLatency = m_entry.m_route->m_targetLatency;
+    // The waits at several nodes together keep to the bound of one.
+    const double waitShare = allowedWaitShare();
+    const std::chrono::duration<double, std::milli> waited = now - m_entry.m_arrivedAt;
+    call.m_targetLatency = std::max(
+            Milliseconds{0},
+            m_entry.m_route->m_targetLatency
+                    - Milliseconds(static_cast<std::int64_t>(waited.count() / waitShare)));
     call.m_idempotent = isIdempotent();
     call.m_attempt = m_entry.m_attempt;
     call.m_callerService = m_services.m_settings.m_service;
@@ -296,6 +300,12 @@
                             {"policy", std::to_string(m_services.m_policy.version())}});
 }
 
+double EntryCall::allowedWaitShare() const
+{
+    const traffic::GateSettings &gate = m_services.m_settings.m_gate;
+    return m_entry.m_nested ? gate.m_nestedWaitShare : gate.m_callerWaitShare;
+}
+
 bool EntryCall::isIdempotent() const
 {
     return m_entry.m_route->m_execution == model::Execution::Idempotent;
--- a/packages/relay/entry/entrycall.h
+++ b/packages/relay/entry/entrycall.h
@@ -66,6 +66,8 @@
     void cancelAttempt();
     void finish(Outcome outcome, HttpResponse response, const std::string &reason);
     void log(Outcome outcome, int status, const std::string &reason, TimePoint now);
+    /** @returns the part of the target latency for which the request may wait for a slot. */
+    double allowedWaitShare() const;
     bool isIdempotent() const;
 
     EntryServices &m_services;
