Let callers' requests wait longer for a slot and leave the region less often

Change: callers' requests wait up to a quarter of the target latency; leaving the region counts as a wait of 120 ms in place of 60.

--- a/packages/traffic/gate/gate.h
+++ b/packages/traffic/gate/gate.h
@@ -15,7 +15,7 @@
     double m_usableShare = 0.95;
     /** Longest wait of a caller's request, as a part of its route's target latency: a refusal that
      * comes later is of no use to the caller. */
-    double m_callerWaitShare = 0.125;
+    double m_callerWaitShare = 0.25;
     /** Longest wait of a nested call, as a part of its route's target latency. Its caller holds a
      * slot meanwhile, and refusing it wastes the work done so far. */
     double m_nestedWaitShare = 0.5;
--- a/packages/traffic/placement/placement.h
+++ b/packages/traffic/placement/placement.h
@@ -24,7 +24,7 @@
      * fastest backend server although that is busy. */
     double m_firstWaitShare = 0.2;
     /** Wait that is accepted to stay in the own region, whose link is narrow and dear. */
-    std::chrono::milliseconds m_regionPenalty{60};
+    std::chrono::milliseconds m_regionPenalty{120};
 };
 
 /** Load of a backend server as its node last reported it. */
