Charge the nested calls of repeats and keep repeats for important requests

Cause: while backend servers of the deepest service refused 45 % of their arrivals, look-ups used up the repeats and orders failed; a repeat of a request that makes nested calls was charged to its own service only, although its calls reach the services below a second time.

--- a/packages/relay/control/loadexchange.cpp
+++ b/packages/relay/control/loadexchange.cpp
@@ -53,6 +53,19 @@
     return entry->second;
 }
 
+traffic::NestedRuns LoadExchange::nestedRunsOf(const traffic::PolicyIndex &policy,
+                                               const traffic::RoutePolicy &route) const
+{
+    traffic::NestedRuns result;
+    for (const auto &[name, expected] : traffic::expectedRuns(m_profile, route.m_name)) {
+        const traffic::RoutePolicy *nested =
+                name == route.m_name ? nullptr : policy.routeNamed(name);
+        if (nested != nullptr)
+            result[nested->m_parts.front().m_service] += expected.m_runs;
+    }
+    return result;
+}
+
 void LoadExchange::update(const Mesh &mesh, const traffic::InstanceRegister &instances,
                           TimePoint now)
 {
--- a/packages/relay/control/loadexchange.h
+++ b/packages/relay/control/loadexchange.h
@@ -3,6 +3,7 @@
 #include "relay/inbound/localgate.h"
 #include "relay/link/mesh.h"
 #include "traffic/policy/policyindex.h"
+#include "traffic/retry/repeatbudget.h"
 #include "traffic/treeadmission/treeadmission.h"
 
 #include <chrono>
@@ -35,6 +36,10 @@
                                                   const traffic::RoutePolicy &route,
                                                   const std::string &service);
 
+    /** @returns the runs that one run of the route makes at each service by nested calls. */
+    traffic::NestedRuns nestedRunsOf(const traffic::PolicyIndex &policy,
+                                     const traffic::RoutePolicy &route) const;
+
     /** Renews the admission from what other nodes have told; to be called every 100 ms. */
     void update(const Mesh &mesh, const traffic::InstanceRegister &instances, TimePoint now);
 
--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -210,7 +210,9 @@
     if (!failure.m_arrived)
         return true;
     if (m_arrivals >= m_entry.m_route->m_maximumAttempts
-        || !traffic::takeRepeat(m_services.m_repeats, m_entry.m_service))
+        || !traffic::takeRepeat(m_services.m_repeats, m_entry.m_service, m_entry.m_priority == 0,
+                                m_services.m_loads.nestedRunsOf(*m_entry.m_policy,
+                                                                *m_entry.m_route)))
         return false;
     ++m_services.m_counters.m_repeats;
     return true;
--- a/packages/traffic/retry/repeatbudget.cpp
+++ b/packages/traffic/retry/repeatbudget.cpp
@@ -19,12 +19,17 @@
     tokens = std::min(tokens + budget.m_settings.m_ratio, budget.m_settings.m_maximum);
 }
 
-bool takeRepeat(RepeatBudget &budget, const std::string &service)
+bool takeRepeat(RepeatBudget &budget, const std::string &service, bool important,
+                const NestedRuns &nestedRuns)
 {
-    double &tokens = tokensOf(budget, service);
-    if (tokens < 1.0)
+    const double needed = important ? 1.0 : 1.0 + budget.m_settings.m_keptForImportant;
+    if (tokensOf(budget, service) < needed)
         return false;
-    tokens -= 1.0;
+    tokensOf(budget, service) -= 1.0;
+    for (const auto &[nested, runs] : nestedRuns) {
+        double &tokens = tokensOf(budget, nested);
+        tokens = std::max(tokens - runs, budget.m_settings.m_minimum);
+    }
     return true;
 }
 
--- a/tests/traffic/gate_test.cpp
+++ b/tests/traffic/gate_test.cpp
@@ -65,6 +65,7 @@
 TEST_CASE("A run whose expected wait is too long is refused at once")
 {
     Gate gate = gateWith(2, 0.2);
+    gate.m_settings.m_callerWaitShare = 0.125;
     arriveAtGate(gate, run(1, 0, false), Start);
     // Each waiting run adds 200 ms; an eighth of 2 s is 250 ms.
     CHECK(arriveAtGate(gate, run(2, 0, false), Start).m_verdict == GateVerdict::Wait);
