--- a/packages/relay/entry/entrycall.h
+++ b/packages/relay/entry/entrycall.h
@@ -24,6 +24,8 @@
     std::string m_service;
     int m_priority = 0;
     bool m_nested = false;
+    /** Attempt whose run made this nested call; empty if it is not known. */
+    std::string m_parent;
     /** The organisation was charged a token. */
     bool m_charged = false;
     /** Part of such requests that is admitted at present. */
--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -115,6 +115,7 @@
     if (parent) {
         request.m_nested = true;
         request.m_priority = parent->m_priority;
+        request.m_parent = parent->m_attempt;
         m_services.m_gate.recordNestedCall(parent->m_route, request.m_route->m_name);
         return;
     }
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -144,7 +144,8 @@
     const auto found = m_runs.find(*number);
     if (found == m_runs.end())
         return std::nullopt;
-    return ParentRun{found->second.m_call.m_route, found->second.m_call.m_priority};
+    const Call &call = found->second.m_call;
+    return ParentRun{call.m_attempt, call.m_route, call.m_priority};
 }
 
 void LocalGate::recordNestedCall(const std::string &parentRoute, const std::string &route)
--- a/packages/relay/inbound/localgate.h
+++ b/packages/relay/inbound/localgate.h
@@ -22,6 +22,8 @@
 /** A run that a nested call belongs to. */
 struct ParentRun
 {
+    /** Identifier of the attempt. */
+    std::string m_attempt;
     std::string m_route;
     int m_priority = 0;
 };
