Keep one copy of the base64 functions

Cause: the store's client had base64 functions beside those of the row values.

Change: packages/model/encoding holds them for both. callresult.h carries the name of its type.

--- a/fuzz/row_fuzz.cpp
+++ b/fuzz/row_fuzz.cpp
@@ -1,4 +1,5 @@
 #include "fuzz/require.h"
+#include "model/encoding/base64.h"
 #include "sharedstate/claims/claimrecord.h"
 #include "sharedstate/lease/leaserow.h"
 #include "sharedstate/publication/publicationrow.h"
@@ -17,8 +18,8 @@
 
 void checkEncodings(const std::string &text)
 {
-    require(fromBase64(toBase64(text)) == text);
-    require(fromBase64(text).size() <= text.size() / 4 * 3);
+    require(model::fromBase64(model::toBase64(text)) == text);
+    require(model::fromBase64(text).size() <= text.size() / 4 * 3);
     const std::uint64_t number = fromHex(text);
     require(fromHex(toHex(number)) == number);
 }
--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -140,10 +140,10 @@
     // The waits at several nodes together keep to the bound of one.
     const double waitShare = allowedWaitShare();
     const std::chrono::duration<double, std::milli> waited = now - m_entry.m_arrivedAt;
-    call.m_targetLatency = std::max(
-            Milliseconds{0},
-            m_entry.m_route->m_targetLatency
-                    - Milliseconds(static_cast<std::int64_t>(waited.count() / waitShare)));
+    call.m_targetLatency =
+            std::max(Milliseconds{0},
+                     m_entry.m_route->m_targetLatency
+                             - Milliseconds(static_cast<std::int64_t>(waited.count() / waitShare)));
     call.m_idempotent = isIdempotent();
     call.m_attempt = m_entry.m_attempt;
     call.m_callerService = m_services.m_settings.m_service;
@@ -210,9 +210,9 @@
     if (!failure.m_arrived)
         return true;
     if (m_arrivals >= m_entry.m_route->m_maximumAttempts
-        || !traffic::takeRepeat(m_services.m_repeats, m_entry.m_service, m_entry.m_priority == 0,
-                                m_services.m_loads.nestedRunsOf(*m_entry.m_policy,
-                                                                *m_entry.m_route)))
+        || !traffic::takeRepeat(
+                m_services.m_repeats, m_entry.m_service, m_entry.m_priority == 0,
+                m_services.m_loads.nestedRunsOf(*m_entry.m_policy, *m_entry.m_route)))
         return false;
     ++m_services.m_counters.m_repeats;
     return true;
@@ -296,7 +296,7 @@
                             {"priority", std::to_string(m_entry.m_priority)},
                             {"nested", m_entry.m_nested ? "true" : "false"},
                             {"parent", m_entry.m_parent},
-             {"admitted_share", std::to_string(m_entry.m_admittedShare)},
+                            {"admitted_share", std::to_string(m_entry.m_admittedShare)},
                             {"nodes", nodes},
                             {"arrivals", std::to_string(m_arrivals)},
                             {"took_ms", std::to_string(took.count())},
--- a/packages/relay/inbound/localgate.h
+++ b/packages/relay/inbound/localgate.h
@@ -2,7 +2,7 @@
 
 #include "overload/names/nametable.h"
 #include "relay/http/backendpool.h"
-#include "relay/inbound/runresult.h"
+#include "relay/inbound/callresult.h"
 #include "relay/runtime/relaysettings.h"
 #include "relay/telemetry/boundedlog.h"
 #include "relay/telemetry/counters.h"
--- a/packages/relay/link/mesh.h
+++ b/packages/relay/link/mesh.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "relay/inbound/runresult.h"
+#include "relay/inbound/callresult.h"
 #include "relay/link/frameconnection.h"
 #include "relay/timers/timerqueue.h"
 #include "traffic/placement/placement.h"
--- a/packages/sharedstate/claims/claimrecord.cpp
+++ b/packages/sharedstate/claims/claimrecord.cpp
@@ -1,4 +1,5 @@
 #include "sharedstate/claims/claimrecord.h"
+#include "model/encoding/base64.h"
 
 namespace chervilmount::sharedstate {
 
@@ -13,7 +14,7 @@
     value["nonce"] = toHex(record.m_nonce);
     value["digest"] = record.m_digest;
     if (record.m_response)
-        value["response"] = toBase64(*record.m_response);
+        value["response"] = model::toBase64(*record.m_response);
     if (!record.m_responseObject.empty())
         value["object"] = record.m_responseObject;
     return value;
@@ -26,7 +27,7 @@
     record.m_digest = textMember(value, "digest");
     record.m_responseObject = textMember(value, "object");
     if (value.contains("response"))
-        record.m_response = fromBase64(textMember(value, "response"));
+        record.m_response = model::fromBase64(textMember(value, "response"));
     return record;
 }
 
--- a/packages/sharedstate/store/rowvalue.h
+++ b/packages/sharedstate/store/rowvalue.h
@@ -26,10 +26,4 @@
 /** @returns the number of a member, or 0 if it is absent or not a non-negative integer. */
 std::uint64_t numberMember(const boost::json::object &value, std::string_view name);
 
-/** @returns the bytes in base64; rows hold JSON, which has no place for arbitrary bytes. */
-std::string toBase64(const std::string &bytes);
-
-/** @returns the bytes, or empty if the text is not base64. */
-std::string fromBase64(const std::string &text);
-
 } // namespace chervilmount::sharedstate
--- a/tests/platform/standin/rowstore.cpp
+++ b/tests/platform/standin/rowstore.cpp
@@ -1,40 +1,20 @@
 #include "platform/standin/rowstore.h"
 
+#include "model/encoding/base64.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <openssl/evp.h>
 
 #include <algorithm>
 
+using namespace chervilmount;
 using namespace chervilmount::relay;
 namespace json = boost::json;
 
 namespace {
 
-std::string encode(const std::string &bytes)
-{
-    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    text.resize(static_cast<std::size_t>(
-            EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
-                            reinterpret_cast<const unsigned char *>(bytes.data()),
-                            static_cast<int>(bytes.size()))));
-    return text;
-}
-
-std::string decode(const std::string &text)
-{
-    std::string bytes(text.size(), '\0');
-    int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
-                                 reinterpret_cast<const unsigned char *>(text.data()),
-                                 static_cast<int>(text.size()));
-    for (std::size_t end = text.size(); end > 0 && text[end - 1] == '='; --end)
-        --length;
-    bytes.resize(static_cast<std::size_t>(std::max(0, length)));
-    return bytes;
-}
-
 std::map<std::string, std::string> parseQuery(const std::string &target)
 {
     std::map<std::string, std::string> query;
@@ -68,7 +48,7 @@
 
 void RowStore::put(const std::string &table, const std::string &key, const std::string &value)
 {
-    write(table, key, encode(value));
+    write(table, key, model::toBase64(value));
 }
 
 std::string RowStore::value(const std::string &table, const std::string &key) const
@@ -76,7 +56,7 @@
     const auto rows = m_tables.find(table);
     if (rows == m_tables.end() || !rows->second.contains(key))
         return {};
-    return decode(rows->second.at(key).m_value);
+    return model::fromBase64(rows->second.at(key).m_value);
 }
 
 void RowStore::compact()
