--- a/fuzz/row_fuzz.cpp
+++ b/fuzz/row_fuzz.cpp
@@ -18,8 +18,8 @@
 
 void checkEncodings(const std::string &text)
 {
-    require(model::fromBase64(model::toBase64(text)) == text);
-    require(model::fromBase64(text).size() <= text.size() / 4 * 3);
+    require(chervilmount::model::fromBase64(chervilmount::model::toBase64(text)) == text);
+    require(chervilmount::model::fromBase64(text).size() <= text.size() / 4 * 3);
     const std::uint64_t number = fromHex(text);
     require(fromHex(toHex(number)) == number);
 }
