--- a/packages/relay/http/httpserver.cpp
+++ b/packages/relay/http/httpserver.cpp
@@ -16,6 +16,11 @@
     accept();
 }
 
+HttpServer::~HttpServer()
+{
+    abort();
+}
+
 void HttpServer::checkTimeouts(std::chrono::steady_clock::time_point now)
 {
     for (const std::shared_ptr<HttpSession> &session : m_sessions)
--- a/packages/relay/http/httpserver.h
+++ b/packages/relay/http/httpserver.h
@@ -25,6 +25,12 @@
     HttpServer(boost::asio::io_context &context, const std::string &address,
                const traffic::CallerLimits &limits, HttpHandler handler);
 
+    /** Closes all connections. */
+    ~HttpServer();
+
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
     /** Bounds the open connections; further ones wait in the listener's queue. */
     void setMaximumSessions(std::size_t sessions) { m_maximumSessions = sessions; }
 
--- a/packages/relay/http/httpsession.cpp
+++ b/packages/relay/http/httpsession.cpp
@@ -197,6 +197,8 @@
     if (m_closed)
         return;
     m_closed = true;
+    // The callback refers to the request, and the request to this session.
+    m_onAbandoned = nullptr;
     boost::system::error_code ignored;
     m_socket.close(ignored);
 }
--- a/packages/traffic/retry/repeatbudget.h
+++ b/packages/traffic/retry/repeatbudget.h
@@ -13,9 +13,9 @@
     /** Repeats that may be saved up at one node. */
     double m_maximum = 3.0;
     /** Repeats allowed at the start. */
-    double m_initial = 1.0;
+    double m_initial = 1.5;
     /** Repeats that must be left for a less important request to take one. */
-    double m_keptForImportant = 1.0;
+    double m_keptForImportant = 0.5;
     /** Lowest value to which the nested calls of repeats may bring a budget. */
     double m_minimum = -10.0;
 };
--- a/tests/platform/standin/backend.cpp
+++ b/tests/platform/standin/backend.cpp
@@ -20,6 +20,12 @@
 {
 }
 
+Backend::~Backend()
+{
+    for (const std::shared_ptr<HttpClientConnection> &connection : m_connections)
+        connection->close();
+}
+
 std::string Backend::announcement(const std::string &state, int sequence, std::int64_t born) const
 {
     return R"({"service":")" + m_service + R"(","address":")" + m_address
@@ -82,6 +88,7 @@
             deadline - std::chrono::steady_clock::now());
     request.set("X-Chervilmount-Deadline-Ms", std::to_string(left.count()));
     auto connection = std::make_shared<HttpClientConnection>(m_context, "", 1UL << 20U);
+    m_connections.push_back(connection);
     connection->connect(parseEndpoint(call.m_address), [=, this](bool connected) mutable {
         if (!connected) {
             answer(session, attempt, 500);
--- a/tests/platform/standin/backend.h
+++ b/tests/platform/standin/backend.h
@@ -48,6 +48,10 @@
 {
 public:
     Backend(boost::asio::io_context &context, std::string id, std::string service);
+    ~Backend();
+
+    Backend(const Backend &) = delete;
+    Backend &operator=(const Backend &) = delete;
 
     const std::string &address() const { return m_address; }
     const std::string &id() const { return m_id; }
@@ -86,4 +90,6 @@
     chervilmount::relay::HttpServer m_server;
     int m_running = 0;
     int m_lastNested = 0;
+    /** Connections of nested calls; their callbacks refer to them. */
+    std::vector<std::shared_ptr<chervilmount::relay::HttpClientConnection>> m_connections;
 };
--- a/tests/platform/standin/rowstore.cpp
+++ b/tests/platform/standin/rowstore.cpp
@@ -8,6 +8,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <unistd.h>
 
 using namespace chervilmount;
 using namespace chervilmount::relay;
