Give the platform tests ports below those of outgoing connections

Cause: a test lost its port to an outgoing connection between choosing and binding it ('Address already in use' in the sanitizer run beside load).

Change: the stand-ins take ports from 22000 on, from another place in each test process.

--- a/tests/platform/standin/rowstore.cpp
+++ b/tests/platform/standin/rowstore.cpp
@@ -35,8 +35,24 @@
 
 std::string freeAddress(boost::asio::io_context &context)
 {
-    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    // Ports below those of outgoing connections; each test process begins elsewhere.
+    constexpr int FirstPort = 22000;
+    constexpr int PortsPerProcess = 100;
+    constexpr int Processes = 100;
+    static int s_next = FirstPort + (::getpid() % Processes) * PortsPerProcess;
+    for (;;) {
+        const int port = s_next++;
+        boost::asio::ip::tcp::acceptor acceptor(context);
+        const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(),
+                                                      static_cast<unsigned short>(port));
+        boost::system::error_code error;
+        acceptor.open(endpoint.protocol());
+        acceptor.bind(endpoint, error);
+        if (!error)
+            acceptor.listen(1, error);
+        if (!error)
+            return "127.0.0.1:" + std::to_string(port);
+    }
 }
 
 RowStore::RowStore(boost::asio::io_context &context)
