Keep departures that are acknowledged before the node's row is read

Cause: with the store away at a node's start, a departure that it acknowledged was overwritten by the row that it read later, and so lost to the next start. Found by reading the change again.

Change: the row's departures are merged with those of the process.

Measured: the new test fails before and passes after; 25 of 25 platform tests.

--- a/packages/relay/control/noderegistry.cpp
+++ b/packages/relay/control/noderegistry.cpp
@@ -111,8 +111,8 @@
         m_mesh.learn(node->m_record);
         m_mesh.learnProfile(node->m_record.m_node, node->m_profile);
     } else if (!m_hasRead) {
-        m_departed = node->m_departed;
-        m_profile = node->m_profile;
+        if (m_profile.empty())
+            m_profile = node->m_profile;
         m_onOwnRow(*node);
     }
 }
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -98,6 +98,8 @@
     };
     m_registry.m_onOwnRow = [this](const NodeRow &row) {
         m_backend.restore(row.m_departed);
+        // Departures since the start are kept beside those of the row.
+        m_registry.setDeparted(traffic::departures(m_backend.instances()));
         m_gate.restoreProfile(row.m_profile);
     };
     m_store.m_onReachable = [this](bool reachable) {
--- a/tests/platform/lifecycle_test.cpp
+++ b/tests/platform/lifecycle_test.cpp
@@ -181,3 +181,20 @@
     for (const std::unique_ptr<FleetNode> &node : fleet.m_nodes)
         CHECK(fleet.request(*node, {}, "a-" + node->m_name).m_status == 404);
 }
+
+// Guards against a departure that is forgotten because the node's row, read later, does not have it.
+TEST_CASE("A departure that is acknowledged before the row was read is recorded afterwards")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    FleetNode &leaving = *fleet.m_nodes[0];
+    fleet.kill(leaving);
+    fleet.m_store.m_faults.m_status = 503;
+    fleet.restart(leaving);
+    fleet.runFor(100ms);
+    CHECK(fleet.tell(leaving, "DELETE", leaving.m_backend->id(), "") == 200);
+    fleet.m_store.m_faults.m_status = 0;
+    CHECK(fleet.runUntil([&fleet] {
+        return fleet.m_store.value("chervilmount-nodes", "n1").find("i-n1") != std::string::npos;
+    }));
+}
