--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -152,7 +152,7 @@
     }
     const std::uint64_t number = ++m_lastWaiting;
     const TimePoint until = std::chrono::steady_clock::now() + TokenWait;
-    m_waiting.emplace(number, WaitingForTokens{session, std::move(request), until});
+    m_waiting.emplace(number, WaitingForTokens{session, std::move(request)});
     askAgain(number);
     m_services.m_timers.add(until, [this, number] {
         auto node = m_waiting.extract(number);
--- a/packages/relay/entry/entryhandler.h
+++ b/packages/relay/entry/entryhandler.h
@@ -27,7 +27,6 @@
     {
         std::shared_ptr<HttpSession> m_session;
         EntryRequest m_request;
-        TimePoint m_until;
     };
 
     void refuse(const std::shared_ptr<HttpSession> &session, EntryRequest request, Outcome outcome,
--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -67,7 +67,6 @@
     peer->m_record = record;
     peer->m_nextDial = std::min(peer->m_nextDial, std::chrono::steady_clock::now());
     place(*peer);
-    m_handlers.m_onMembersChanged();
 }
 
 void Mesh::learnProfile(const std::string &node, const traffic::CallProfile &profile)
@@ -353,13 +352,11 @@
         peer.m_record = hello->m_record;
         place(peer);
         m_handlers.m_onLink(peer.m_record, true);
-        m_handlers.m_onMembersChanged();
         m_handlers.m_onPolicyVersion(peer.m_record.m_node, hello->m_policyVersion);
     } else if (Status *status = std::get_if<Status>(&frame)) {
         if (status->m_record) {
             peer.m_record = *status->m_record;
             place(peer);
-            m_handlers.m_onMembersChanged();
         }
         peer.m_target.m_load = status->m_load;
         peer.m_target.m_sentSinceReport = 0;
--- a/packages/relay/link/mesh.h
+++ b/packages/relay/link/mesh.h
@@ -37,8 +37,6 @@
     std::function<void(const PolicyDocument &)> m_onPolicyDocument;
     std::function<double(const TokenRequest &)> m_giveTokens;
     std::function<void(const TokenGrant &)> m_onTokens;
-    /** The set of known nodes, or what is known of one, has changed. */
-    std::function<void()> m_onMembersChanged;
     /** A link was made or lost. */
     std::function<void(const NodeRecord &, bool linked)> m_onLink;
 };
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -205,7 +205,6 @@
         traffic::addTokens(m_rates, grant.m_organisation, grant.m_tokens);
         m_entry.tokensArrived();
     };
-    handlers.m_onMembersChanged = [] {};
     handlers.m_onLink = [this](const NodeRecord &record, bool linked) {
         if (linked)
             m_linkedAt = std::chrono::steady_clock::now();
--- a/packages/traffic/instance/instanceregister.h
+++ b/packages/traffic/instance/instanceregister.h
@@ -20,8 +20,6 @@
     std::string m_address;
     int m_slots = 0;
     InstanceState m_state = InstanceState::Ready;
-    /** How much longer it remains slow after its start. */
-    std::chrono::milliseconds m_coldFor{0};
     /** Grows with each announcement of one start. */
     std::uint64_t m_sequence = 0;
     /** Wall-clock time of its start; 0 if it is not known. */
--- a/tests/platform/lifecycle_test.cpp
+++ b/tests/platform/lifecycle_test.cpp
@@ -182,7 +182,8 @@
         CHECK(fleet.request(*node, {}, "a-" + node->m_name).m_status == 404);
 }
 
-// Guards against a departure that is forgotten because the node's row, read later, does not have it.
+// Guards against a departure that is forgotten because the node's row, read later, does not have
+// it.
 TEST_CASE("A departure that is acknowledged before the row was read is recorded afterwards")
 {
     Fleet fleet;
