Write node rows under a condition and give the store stand-in rates, delays and late writes

Cause: node rows were written without a condition. The store may perform an unanswered write seconds later; such a write replaced the row of a newer one and with it departures that were acknowledged meanwhile. Change: each write states the version that the row must have. After a conflict the node takes the row's version, keeps the departures of both and writes again; a row that already holds the intended value counts as written. The stand-in of the store limits calls per second (429), delays answers, performs held writes later, and refuses the nodes of single addresses. Ruled out: numbering the departures inside the row; the store would still replace the row as a whole.

--- a/packages/relay/control/noderegistry.cpp
+++ b/packages/relay/control/noderegistry.cpp
@@ -56,21 +56,43 @@
         readBeforeFirstWrite();
         return;
     }
-    const NodeRow row{m_mesh.self(), m_departed, m_profile};
-    m_store.write(NodeTable, toStoreRow(row), [this](bool succeeded) {
+    StoreRow row = toStoreRow({m_mesh.self(), m_departed, m_profile});
+    row.m_version = m_version;
+    m_store.write(NodeTable, row, [this, value = row.m_value](const WriteResult &result) {
         m_writing = false;
-        if (!succeeded) {
+        if (result.m_status == WriteStatus::Failed) {
             retry([this] { write(); });
             return;
         }
         m_failures = 0;
-        if (m_dirty)
+        m_version = result.m_row.m_version;
+        // After a lost answer the row can hold what this call was to write.
+        const bool stands =
+                result.m_status == WriteStatus::Written || result.m_row.m_value == value;
+        if (!stands)
+            mergeConflict(result.m_row);
+        if (m_dirty || !stands)
             write();
         else if (!std::exchange(m_hasReadAgain, true))
             read();
     });
 }
 
+void NodeRegistry::mergeConflict(const StoreRow &row)
+{
+    if (m_log.allows(LogTopic::State, std::chrono::steady_clock::now()))
+        m_log.write(LogTopic::State, adapters::LogLevel::Warn,
+                    {{"event", "node-row-conflict"}, {"version", std::to_string(row.m_version)}});
+    // Only processes of this node write the row: an earlier write was performed after all.
+    const std::optional<NodeRow> node = parseNodeRow(row);
+    if (!node)
+        return;
+    // The callback asks for a write of the merged row, which the caller does.
+    m_writing = true;
+    m_onOwnRow(*node);
+    m_writing = false;
+}
+
 void NodeRegistry::readBeforeFirstWrite()
 {
     m_store.read(NodeTable, [this](bool succeeded, const std::vector<StoreRow> &rows) {
@@ -111,6 +133,7 @@
         m_mesh.learn(node->m_record);
         m_mesh.learnProfile(node->m_record.m_node, node->m_profile);
     } else if (!m_hasRead) {
+        m_version = row.m_version;
         if (m_profile.empty())
             m_profile = node->m_profile;
         m_onOwnRow(*node);
--- a/packages/relay/control/noderegistry.h
+++ b/packages/relay/control/noderegistry.h
@@ -37,6 +37,7 @@
 
 private:
     void write();
+    void mergeConflict(const StoreRow &row);
     void readBeforeFirstWrite();
     void read();
     void learn(const StoreRow &row);
@@ -49,6 +50,8 @@
     std::mt19937_64 &m_random;
     std::vector<traffic::DepartedInstance> m_departed;
     traffic::CallProfile m_profile;
+    /** Version of this node's row as far as known; 0 if it does not exist. */
+    std::uint64_t m_version = 0;
     bool m_hasRead = false;
     /** The table has been read again after the first write. */
     bool m_hasReadAgain = false;
--- a/packages/relay/store/noderow.cpp
+++ b/packages/relay/store/noderow.cpp
@@ -96,7 +96,7 @@
                              {"startedAtMilliseconds", row.m_record.m_startedAt.count()},
                              {"departed", std::move(departed)},
                              {"profile", toJson(row.m_profile)}};
-    return {row.m_record.m_node, json::serialize(value)};
+    return {row.m_record.m_node, json::serialize(value), 0};
 }
 
 std::optional<NodeRow> parseNodeRow(const StoreRow &row)
--- a/packages/relay/store/sharedstore.h
+++ b/packages/relay/store/sharedstore.h
@@ -14,6 +14,25 @@
 {
     std::string m_key;
     std::string m_value;
+    /** Version of the store at which the row was last written; 0 if it does not exist. */
+    std::uint64_t m_version = 0;
+};
+
+enum class WriteStatus {
+    /** The row was written. */
+    Written,
+    /** The row has another version than expected; nothing was written. */
+    Conflict,
+    /** Nothing was written, or the outcome is unknown: the write may still be performed. */
+    Failed,
+};
+
+/** Outcome of a write. */
+struct WriteResult
+{
+    WriteStatus m_status = WriteStatus::Failed;
+    /** The row as it stands; empty if the write failed. */
+    StoreRow m_row;
 };
 
 /** What the node needs from the platform's store; implemented by the platform's adapter. */
@@ -25,11 +44,14 @@
     SharedStore &operator=(const SharedStore &) = delete;
     virtual ~SharedStore() = default;
 
-    /** Gets the outcome of a call; false if it failed or its outcome is unknown. */
-    using WriteCallback = std::function<void(bool)>;
+    using WriteCallback = std::function<void(const WriteResult &)>;
+    /** Gets false if the read failed. */
     using RowsCallback = std::function<void(bool, std::vector<StoreRow>)>;
 
-    /** Writes one row, whatever it held before. Writing the same row twice does no harm. */
+    /**
+     * Writes one row if it still has the version that the passed row states. The condition keeps a
+     * write that the store performs late from replacing a newer one.
+     */
     virtual void write(const std::string &table, const StoreRow &row, WriteCallback callback) = 0;
 
     /** Reads all rows of a table as of one moment. */
--- a/tests/platform/lifecycle_test.cpp
+++ b/tests/platform/lifecycle_test.cpp
@@ -140,10 +140,7 @@
     FleetNode &cut = *fleet.m_nodes[1];
     fleet.kill(cut);
     // The restarted node asks a store that refuses it, while the other one has the rows.
-    const std::string storeAddress = cut.m_settings.m_store.m_address;
-    RowStore refusing(fleet.m_context);
-    refusing.m_faults.m_status = 503;
-    cut.m_settings.m_store.m_address = refusing.address();
+    fleet.m_store.m_refusing.insert(cut.m_settings.m_store.m_address);
     fleet.restart(cut);
     CHECK(fleet.runUntil([&cut] { return cut.m_node->policyVersion() == 1; }));
     fleet.configure(5);
@@ -199,3 +196,84 @@
         return fleet.m_store.value("chervilmount-nodes", "n1").find("i-n1") != std::string::npos;
     }));
 }
+
+// Guards against a write that the store performs late and that takes back what was acknowledged
+// since.
+TEST_CASE("A late write does not take a later departure back")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    FleetNode &leaving = *fleet.m_nodes[0];
+    const auto isRecorded = [&fleet](const std::string &id) {
+        return fleet.m_store.value("chervilmount-nodes", "n1").find(id) != std::string::npos;
+    };
+    // The first departure's write is held back by the store, the second one's is performed.
+    fleet.m_store.m_faults.m_holdWrites = true;
+    CHECK(fleet.tell(leaving, "DELETE", leaving.m_backend->id(), "") == 200);
+    fleet.runFor(100ms);
+    fleet.m_store.m_faults.m_holdWrites = false;
+    REQUIRE(fleet.runUntil([&isRecorded] { return isRecorded("i-n1"); }));
+    const std::string recorded = fleet.m_store.value("chervilmount-nodes", "n1");
+    Backend next(fleet.m_context, "i-next", "slipdesk");
+    CHECK(fleet.tell(leaving, "PUT", next.id(), next.announcement("ready", 1, 1U << 30U)) == 200);
+    CHECK(fleet.tell(leaving, "DELETE", next.id(), "") == 200);
+    REQUIRE(fleet.runUntil([&isRecorded] { return isRecorded("i-next"); }));
+    fleet.m_store.performHeldWrites();
+    CHECK(isRecorded("i-next"));
+}
+
+// Guards against a departure that is lost because the outcome of its write is unknown.
+TEST_CASE("A departure whose write was performed without an answer is recorded once and kept")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    FleetNode &leaving = *fleet.m_nodes[0];
+    fleet.m_store.m_faults.m_loseWriteAnswers = true;
+    CHECK(fleet.tell(leaving, "DELETE", leaving.m_backend->id(), "") == 200);
+    fleet.runFor(100ms);
+    fleet.m_store.m_faults.m_loseWriteAnswers = false;
+    fleet.runFor(4s);
+    const int calls = fleet.m_store.m_calls["/rows-tx"];
+    CHECK(fleet.m_store.value("chervilmount-nodes", "n1").find("i-n1") != std::string::npos);
+    fleet.runFor(500ms);
+    // The node has learnt that the row stands and does not write it over and over.
+    CHECK(fleet.m_store.m_calls["/rows-tx"] == calls);
+}
+
+// Guards against nodes that answer the store's 429 by asking more often.
+TEST_CASE("Nodes that the store limits to a few calls a second all get their rows and the policy")
+{
+    Fleet fleet;
+    fleet.m_store.m_faults.m_writesPerSecond = 2;
+    fleet.m_store.m_faults.m_readsPerSecond = 4;
+    for (const char *name : {"n1", "n2", "n3", "n4"})
+        fleet.addNode(name, "slipdesk");
+    fleet.configure(1);
+    for (const std::unique_ptr<FleetNode> &node : fleet.m_nodes)
+        fleet.announce(*node);
+    CHECK(fleet.runUntil(
+            [&fleet] {
+                for (const std::unique_ptr<FleetNode> &node : fleet.m_nodes) {
+                    if (fleet.m_store.value("chervilmount-nodes", node->m_name).empty()
+                        || node->m_node->policyVersion() != 1)
+                        return false;
+                }
+                return true;
+            },
+            8s));
+    CHECK(fleet.m_store.m_limited < 60);
+}
+
+// Guards against time limits of store calls that a slow store never meets.
+TEST_CASE("A store that answers late is followed all the same")
+{
+    Fleet fleet;
+    fleet.m_store.m_faults.m_delay = 800ms;
+    fleet.addNode("n1", "slipdesk");
+    fleet.addNode("n2", "slipdesk");
+    fleet.configure(1);
+    fleet.announce(*fleet.m_nodes[0]);
+    fleet.announce(*fleet.m_nodes[1]);
+    CHECK(fleet.runUntil([&fleet] { return fleet.settle(); }, 8s));
+    CHECK(fleet.request(*fleet.m_nodes[0], {}, "a1").m_status == 200);
+}
--- a/tests/platform/standin/fleet.cpp
+++ b/tests/platform/standin/fleet.cpp
@@ -24,8 +24,8 @@
             + node->m_backend->address() + "\nnetwork.listen.outbound=" + freeAddress(m_context)
             + "\nnetwork.listen.ready=" + freeAddress(m_context)
             + "\nnetwork.listen.control=" + freeAddress(m_context)
-            + "\nnetwork.internal_ports=7000,7015\nplatform.platform.address=" + m_store.address()
-            + "\n";
+            + "\nnetwork.internal_ports=7000,7015\nplatform.platform.address="
+            + m_store.addAddress() + "\n";
     node->m_settings = platform::parseBootSettings(text, name);
     // All nodes of the test share one machine, so each needs ports of its own.
     node->m_settings.m_relay.m_peerAddress = freeAddress(m_context);
--- a/tests/platform/standin/rowstore.cpp
+++ b/tests/platform/standin/rowstore.cpp
@@ -56,13 +56,21 @@
 }
 
 RowStore::RowStore(boost::asio::io_context &context)
-    : m_timers(context)
-    , m_address(freeAddress(context))
-    , m_server(context, m_address, m_limits,
-               [this](const Session &session, HttpRequest request) { handle(session, request); })
+    : m_context(context)
+    , m_timers(context)
 {
 }
 
+std::string RowStore::addAddress()
+{
+    const std::string address = freeAddress(m_context);
+    m_servers.emplace_back(m_context, address, m_limits,
+                           [this, address](const Session &session, const HttpRequest &request) {
+                               receive(address, session, request);
+                           });
+    return address;
+}
+
 void RowStore::put(const std::string &table, const std::string &key, const std::string &value)
 {
     write(table, key, model::toBase64(value));
@@ -85,21 +93,53 @@
         respond(feed.m_session, 410, {});
 }
 
-void RowStore::handle(const Session &session, const HttpRequest &request)
+void RowStore::performHeldWrites()
+{
+    for (const std::string &body : std::exchange(m_heldWrites, {}))
+        apply(json::parse(body).as_object());
+}
+
+void RowStore::receive(const std::string &address, const Session &session,
+                       const HttpRequest &request)
 {
     const std::string target(request.target());
-    const std::string path = target.substr(0, target.find('?'));
-    ++m_calls[path];
+    ++m_calls[target.substr(0, target.find('?'))];
     if (m_faults.m_silent) {
         m_silenced.push_back(session);
         return;
     }
-    if (m_faults.m_status != 0) {
-        respond(session, m_faults.m_status, {});
+    if (m_faults.m_status != 0 || m_refusing.contains(address)) {
+        respond(session, m_faults.m_status != 0 ? m_faults.m_status : 503, {});
         return;
     }
+    const bool writes = request.method() == boost::beast::http::verb::post;
+    if (!withinRate(writes ? m_writeRate : m_readRate,
+                    writes ? m_faults.m_writesPerSecond : m_faults.m_readsPerSecond)) {
+        ++m_limited;
+        respond(session, 429, {});
+        return;
+    }
+    if (m_faults.m_delay.count() == 0) {
+        handle(session, target, request.body());
+        return;
+    }
+    m_timers.add(std::chrono::steady_clock::now() + m_faults.m_delay,
+                 [this, session, target, body = request.body()] { handle(session, target, body); });
+}
+
+bool RowStore::withinRate(CallRate &rate, int perSecond)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now - rate.m_since >= std::chrono::seconds{1})
+        rate = {now, 0};
+    return ++rate.m_calls <= perSecond || perSecond == 0;
+}
+
+void RowStore::handle(const Session &session, const std::string &target, const std::string &body)
+{
+    const std::string path = target.substr(0, target.find('?'));
     if (path == "/rows-tx")
-        transact(session, request.body());
+        transact(session, body);
     else if (path == "/rows-get")
         getRows(session, parseQuery(target));
     else if (path == "/rows-feed")
@@ -110,26 +150,45 @@
 
 void RowStore::transact(const Session &session, const std::string &body)
 {
-    const json::object request = json::parse(body).as_object();
-    for (const json::value &entry : request.at("expected_rev").as_array()) {
+    if (m_faults.m_holdWrites) {
+        m_heldWrites.push_back(body);
+        m_silenced.push_back(session);
+        return;
+    }
+    const json::object transaction = json::parse(body).as_object();
+    if (apply(transaction)) {
+        if (m_faults.m_loseWriteAnswers)
+            m_silenced.push_back(session);
+        else
+            respond(session, 200, {});
+        return;
+    }
+    json::array current;
+    for (const json::value &entry : transaction.at("expected_rev").as_array()) {
+        const std::string table(entry.at("table").as_string());
+        const std::string key(entry.at("key").as_string());
+        if (m_tables[table].contains(key))
+            current.push_back(rowJson(table, key));
+    }
+    respond(session, 412, {{"rows", std::move(current)}});
+}
+
+bool RowStore::apply(const json::object &transaction)
+{
+    for (const json::value &entry : transaction.at("expected_rev").as_array()) {
         const json::object &row = entry.as_object();
         const auto &rows = m_tables[std::string(row.at("table").as_string())];
         const auto found = rows.find(std::string(row.at("key").as_string()));
         const std::uint64_t version = found == rows.end() ? 0 : found->second.m_version;
-        if (version != static_cast<std::uint64_t>(row.at("ver").as_int64())) {
-            respond(session, 412, {});
-            return;
-        }
+        if (version != row.at("ver").to_number<std::uint64_t>())
+            return false;
     }
-    for (const json::value &entry : request.at("set_keys").as_array()) {
+    for (const json::value &entry : transaction.at("set_keys").as_array()) {
         const json::object &row = entry.as_object();
         write(std::string(row.at("table").as_string()), std::string(row.at("key").as_string()),
               std::string(row.at("value").as_string()));
     }
-    if (m_faults.m_loseWriteAnswers)
-        m_silenced.push_back(session);
-    else
-        respond(session, 200, {});
+    return true;
 }
 
 void RowStore::getRows(const Session &session, const std::map<std::string, std::string> &query)
--- a/tests/platform/standin/rowstore.h
+++ b/tests/platform/standin/rowstore.h
@@ -6,10 +6,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json/value.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,14 @@
     bool m_silent = false;
     /** Writes take effect, but their answers are lost. */
     bool m_loseWriteAnswers = false;
+    /** Writes get no answer and are performed later, if their conditions hold then. */
+    bool m_holdWrites = false;
+    /** Time added before a call is handled. */
+    std::chrono::milliseconds m_delay{0};
+    /** Calls a second beyond which 429 is answered; 0 for no limit. @{ */
+    int m_writesPerSecond = 0;
+    int m_readsPerSecond = 0;
+    /** @} */
 };
 
 /** The platform's store in memory: rows with versions, transactions and a feed of changes. */
@@ -30,7 +40,8 @@
 public:
     explicit RowStore(boost::asio::io_context &context);
 
-    std::string address() const { return m_address; }
+    /** @returns the address of a further listener on the same rows, for one node of its own. */
+    std::string addAddress();
 
     /** Writes a row as the operators do. */
     void put(const std::string &table, const std::string &key, const std::string &value);
@@ -41,9 +52,16 @@
     /** Drops the history: feeds that are behind get 410. */
     void compact();
 
+    /** Performs the writes that were held back. */
+    void performHeldWrites();
+
     RowStoreFaults m_faults;
-    /** Calls received by path. */
+    /** Addresses at which every call is answered with 503. */
+    std::set<std::string> m_refusing;
+    /** Calls received by path, and those beyond the rates. @{ */
     std::map<std::string, int> m_calls;
+    int m_limited = 0;
+    /** @} */
 
 private:
     using Session = std::shared_ptr<chervilmount::relay::HttpSession>;
@@ -68,8 +86,20 @@
         std::uint64_t m_after = 0;
     };
 
-    void handle(const Session &session, const chervilmount::relay::HttpRequest &request);
+    /** Calls of one kind within the present second. */
+    struct CallRate
+    {
+        std::chrono::steady_clock::time_point m_since;
+        int m_calls = 0;
+    };
+
+    void receive(const std::string &address, const Session &session,
+                 const chervilmount::relay::HttpRequest &request);
+    void handle(const Session &session, const std::string &target, const std::string &body);
+    bool withinRate(CallRate &rate, int perSecond);
     void transact(const Session &session, const std::string &body);
+    /** @returns whether the conditions held and the entries were applied. */
+    bool apply(const boost::json::object &transaction);
     void getRows(const Session &session, const std::map<std::string, std::string> &query);
     void feed(const Session &session, const std::map<std::string, std::string> &query);
     bool answerFeed(const Feed &feed, bool atOnce);
@@ -77,10 +107,13 @@
     boost::json::object rowJson(const std::string &table, const std::string &key) const;
     void respond(const Session &session, int status, boost::json::object body);
 
+    boost::asio::io_context &m_context;
     chervilmount::relay::TimerQueue m_timers;
     chervilmount::traffic::CallerLimits m_limits;
-    std::string m_address;
-    chervilmount::relay::HttpServer m_server;
+    std::list<chervilmount::relay::HttpServer> m_servers;
+    CallRate m_writeRate;
+    CallRate m_readRate;
+    std::vector<std::string> m_heldWrites;
     /** Values are kept in the encoded form in which they are sent. */
     std::map<std::string, std::map<std::string, Row>> m_tables;
     std::vector<Change> m_changes;
