Keep an organisation's tokens at few nodes where the burst is small

Cause: on the grown sites (70 and 91 nodes, 75 and 84 organisations) every node held 1/N of each rate and burst. Parts below one request admit nothing, were rounded up to one (so that the sum exceeded the burst), and fractions passed between nodes were of no use to either. Change: as many nodes hold tokens as the burst gives 4 requests each, at least one a region, chosen by rendezvous hashing; the others ask these when a request waits. Tokens are passed whole. A token asked for is kept for 1 s instead of shrinking at once. Repeated tries of one waiting request no longer count as demand, and no token is asked for after the waiting request got one. Ruled out: one holder per organisation (its death would cost the whole rate until the others may take over).

--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -134,8 +134,9 @@
         return;
     }
     const TimePoint now = std::chrono::steady_clock::now();
+    traffic::recordArrival(m_services.m_rates, request.m_organisation, now);
     const bool charged = traffic::takeToken(m_services.m_rates, request.m_organisation, now);
-    askForTokens(request.m_organisation, now);
+    askForTokens(request.m_organisation, !charged, now);
     if (charged) {
         request.m_charged = true;
         admit(session, std::move(request));
@@ -167,16 +168,19 @@
         const auto waiting = m_waiting.find(number);
         if (waiting == m_waiting.end())
             return;
-        askForTokens(waiting->second.m_request.m_organisation, std::chrono::steady_clock::now());
+        askForTokens(waiting->second.m_request.m_organisation, true,
+                     std::chrono::steady_clock::now());
         askAgain(number);
     });
 }
 
-void EntryHandler::askForTokens(const std::string &organisation, TimePoint now)
+void EntryHandler::askForTokens(const std::string &organisation, bool requestWaits, TimePoint now)
 {
-    const double wanted = traffic::tokensToAsk(m_services.m_rates, organisation, now);
+    const double wanted = traffic::tokensToAsk(m_services.m_rates, organisation, requestWaits, now);
     if (wanted > 0)
-        m_services.m_mesh.requestTokens({organisation, wanted}, m_services.m_random());
+        m_services.m_mesh.requestTokens({organisation, wanted},
+                                        traffic::rateHolders(m_services.m_rates, organisation),
+                                        m_services.m_random());
 }
 
 void EntryHandler::refuseOverAllotment(const std::shared_ptr<HttpSession> &session,
--- a/packages/relay/entry/entryhandler.h
+++ b/packages/relay/entry/entryhandler.h
@@ -36,7 +36,7 @@
     void charge(const std::shared_ptr<HttpSession> &session, EntryRequest request);
     void waitForTokens(const std::shared_ptr<HttpSession> &session, EntryRequest request);
     void askAgain(std::uint64_t number);
-    void askForTokens(const std::string &organisation, TimePoint now);
+    void askForTokens(const std::string &organisation, bool requestWaits, TimePoint now);
     void refuseOverAllotment(const std::shared_ptr<HttpSession> &session, EntryRequest request);
     void admit(const std::shared_ptr<HttpSession> &session, EntryRequest request);
 
--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -159,14 +159,16 @@
         peer->m_link->send(PolicyRequest{});
 }
 
-void Mesh::requestTokens(const TokenRequest &request, std::uint64_t draw)
+void Mesh::requestTokens(const TokenRequest &request, const std::vector<std::string> &nodes,
+                         std::uint64_t draw)
 {
     const TimePoint now = std::chrono::steady_clock::now();
     std::vector<Peer *> near;
     std::vector<Peer *> far;
-    for (const auto &[node, peer] : m_peers) {
-        if (isFresh(*peer, now))
-            (peer->m_record.m_region == m_self.m_region ? near : far).push_back(peer.get());
+    for (const std::string &node : nodes) {
+        Peer *peer = find(node);
+        if (peer != nullptr && isFresh(*peer, now))
+            (peer->m_record.m_region == m_self.m_region ? near : far).push_back(peer);
     }
     // Nodes of the other region are asked rarely, for the sake of the link.
     constexpr std::uint64_t FarOneIn = 8;
--- a/packages/relay/link/mesh.h
+++ b/packages/relay/link/mesh.h
@@ -111,8 +111,9 @@
                        const routing::OutlierSettings &settings, TimePoint now);
 
     void requestPolicy(const std::string &node);
-    /** Asks one of the linked nodes for tokens. */
-    void requestTokens(const TokenRequest &request, std::uint64_t draw);
+    /** Asks one of the nodes for tokens; those of the own region are preferred. */
+    void requestTokens(const TokenRequest &request, const std::vector<std::string> &nodes,
+                       std::uint64_t draw);
 
     /** @returns whether the node has been heard lately. */
     bool isFresh(const Peer &peer, TimePoint now) const;
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -202,7 +202,8 @@
                                    std::chrono::steady_clock::now());
     };
     handlers.m_onTokens = [this](const TokenGrant &grant) {
-        traffic::addTokens(m_rates, grant.m_organisation, grant.m_tokens);
+        traffic::addTokens(m_rates, grant.m_organisation, grant.m_tokens,
+                           std::chrono::steady_clock::now());
         m_entry.tokensArrived();
     };
     handlers.m_onLink = [this](const NodeRecord &record, bool linked) {
@@ -281,12 +282,7 @@
         m_linkedAt = now;
     m_loads.update(m_mesh, m_backend.instances(), now);
     recordProfile(now);
-    std::size_t sharing = 1;
-    for (const auto &[node, peer] : m_mesh.peers()) {
-        if (peer->m_link || now - peer->m_lostAt < ShareKeptFor || peer->m_lostAt == TimePoint())
-            ++sharing;
-    }
-    m_rates.m_nodes = static_cast<double>(sharing);
+    updateSharers(now);
     if (now >= m_nextTimeoutCheck) {
         m_nextTimeoutCheck = now + TimeoutCheckInterval;
         m_callers.checkTimeouts(now);
@@ -310,6 +306,20 @@
     m_timers.add(now + TickInterval, [this] { tick(); });
 }
 
+void RelayNode::updateSharers(TimePoint now)
+{
+    std::vector<traffic::RateSharer> sharers{{m_mesh.self().m_node, m_mesh.self().m_region}};
+    for (const auto &[node, peer] : m_mesh.peers()) {
+        if (peer->m_link || now - peer->m_lostAt < ShareKeptFor || peer->m_lostAt == TimePoint())
+            sharers.push_back({node, peer->m_record.m_region});
+    }
+    std::sort(sharers.begin(), sharers.end(),
+              [](const traffic::RateSharer &left, const traffic::RateSharer &right) {
+                  return left.m_node < right.m_node;
+              });
+    traffic::setSharers(m_rates, m_mesh.self().m_node, std::move(sharers), now);
+}
+
 void RelayNode::recordProfile(TimePoint now)
 {
     if (now < m_nextProfileRecord)
--- a/packages/relay/runtime/relaynode.h
+++ b/packages/relay/runtime/relaynode.h
@@ -75,6 +75,7 @@
     void checkStopped(TimePoint now);
     void logReadiness(TimePoint now);
     void logShedding(TimePoint now);
+    void updateSharers(TimePoint now);
     void recordProfile(TimePoint now);
     void logState(const std::string &event, std::vector<adapters::LogField> fields);
 
--- a/packages/traffic/allotment/rateshare.h
+++ b/packages/traffic/allotment/rateshare.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "traffic/allotment/rateholders.h"
+
 #include <chrono>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace chervilmount::traffic {
 
@@ -22,6 +25,10 @@
     double m_rateTolerance = 0.0;
     /** Requests by which the burst may be exceeded, over all nodes. */
     double m_burstTolerance = 0.0;
+    /** Part of the burst that each node with tokens of its own has at least, in requests. */
+    double m_leastTokens = 4.0;
+    /** Requests a second from which a node without tokens of its own asks ahead of need. */
+    double m_askAheadDemand = 4.0;
 };
 
 /** One organisation's tokens at one node. */
@@ -29,35 +36,51 @@
 {
     double m_rate = 0.0;
     double m_burst = 0.0;
+    /** Part of rate and burst that is this node's own; 0 if other nodes hold the tokens. */
+    double m_part = 1.0;
+    /** Other nodes that hold tokens. */
+    std::vector<std::string> m_holders;
     double m_tokens = 0.0;
     /** Requests a second that callers sent here, averaged over about a second. */
     double m_demand = 0.0;
     std::chrono::steady_clock::time_point m_refilledAt;
+    /** When tokens last came from another node. */
+    std::chrono::steady_clock::time_point m_receivedAt;
     std::chrono::steady_clock::time_point m_nextAsk;
     std::chrono::steady_clock::time_point m_nextUrgentAsk;
 };
 
 /**
- * Divides the fleet-wide rate of each organisation without a central counter: each of the N nodes
- * holds a bucket with 1/N of rate and burst, and nodes short of tokens get some from others. Tokens
- * are subtracted where they are given before they are added where they arrive, so that a lost
- * message loses tokens and never makes any. For every window w, requests admitted by all nodes
- * <= burst + rate * w + received, as long as N counts every node that runs. The last term are
- * tokens above a node's own part of the burst; they expire with a time constant of one second, and
- * a node asks for no more than one second of its demand.
+ * Divides the fleet-wide rate of each organisation without a central counter: each of the H nodes
+ * that hold its tokens has a bucket with 1/H of rate and burst, and nodes short of tokens get some
+ * from these. H is the number of nodes, or less where a node's part of the burst would be too
+ * small to admit single requests. Tokens are subtracted where they are given before they are added
+ * where they arrive, so that a lost message loses tokens and never makes any. For every window w,
+ * requests admitted by all nodes <= burst + rate * w + received, as long as the nodes agree about
+ * who runs. The last term are tokens above a node's own part of the burst; they expire one
+ * second after the node last got some, and it asks for no more than one second of its demand.
  */
 struct RateShares
 {
     RateShareSettings m_settings;
+    std::string m_self;
     /** Nodes that share the rates, including this one. */
-    double m_nodes = 1.0;
+    std::vector<RateSharer> m_sharers;
     std::unordered_map<std::string, RateShare> m_organisations;
 };
 
+/** Sets the nodes that share the rates, including this one. */
+void setSharers(RateShares &shares, const std::string &self, std::vector<RateSharer> sharers,
+                std::chrono::steady_clock::time_point now);
+
 /** Sets an organisation's rate and burst. A new organisation starts without tokens. */
 void setRate(RateShares &shares, const std::string &organisation, double rate, double burst,
              std::chrono::steady_clock::time_point now);
 
+/** Counts a request in the demand, once, whether it is admitted or not. */
+void recordArrival(RateShares &shares, const std::string &organisation,
+                   std::chrono::steady_clock::time_point now);
+
 /**
  * Charges one request.
  * @returns false if the organisation has no token here; the request is then refused.
@@ -69,20 +92,26 @@
 void returnToken(RateShares &shares, const std::string &organisation);
 
 /**
+ * @param requestWaits whether a request waits for a token.
  * @returns how many tokens to ask another node for now; 0 if there are enough, or if the last
  * request was sent too recently.
  */
-double tokensToAsk(RateShares &shares, const std::string &organisation,
+double tokensToAsk(RateShares &shares, const std::string &organisation, bool requestWaits,
                    std::chrono::steady_clock::time_point now);
 
-/** Answers another node's request. @returns the tokens given, which are subtracted here. */
+/** @returns the other nodes that may have tokens of the organisation. */
+const std::vector<std::string> &rateHolders(const RateShares &shares,
+                                            const std::string &organisation);
+
+/** Answers another node's request. @returns the whole tokens given, which are subtracted here. */
 double giveTokens(RateShares &shares, const std::string &organisation, double wanted,
                   std::chrono::steady_clock::time_point now);
 
 /** Adds tokens that another node gave. */
-void addTokens(RateShares &shares, const std::string &organisation, double tokens);
+void addTokens(RateShares &shares, const std::string &organisation, double tokens,
+               std::chrono::steady_clock::time_point now);
 
-/** @returns the time until the node's own refill has a whole token again. */
+/** @returns the time until a node's own refill has a whole token again. */
 std::chrono::milliseconds timeToToken(const RateShares &shares, const std::string &organisation);
 
 } // namespace chervilmount::traffic
--- a/tests/traffic/rateshare_test.cpp
+++ b/tests/traffic/rateshare_test.cpp
@@ -36,11 +36,13 @@
         , m_loss(loss)
         , m_random(seed)
     {
-        for (RateShares &node : m_nodes) {
-            node.m_nodes = nodes;
-            node.m_settings.m_rateTolerance = RateTolerance;
-            node.m_settings.m_burstTolerance = BurstTolerance;
-            setRate(node, Organisation, rate, burst, Start);
+        for (int node = 0; node < nodes; ++node)
+            m_sharers.push_back({std::to_string(node), node % 2 == 0 ? "east" : "west"});
+        for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+            m_nodes[node].m_settings.m_rateTolerance = RateTolerance;
+            m_nodes[node].m_settings.m_burstTolerance = BurstTolerance;
+            setSharers(m_nodes[node], std::to_string(node), m_sharers, Start);
+            setRate(m_nodes[node], Organisation, rate, burst, Start);
         }
     }
 
@@ -48,10 +50,11 @@
      * asks every 10 ms for 60 ms. @returns when it was admitted. */
     std::optional<TimePoint> request(std::size_t node, TimePoint now)
     {
+        recordArrival(m_nodes[node], Organisation, now);
         for (int asked = 0; asked <= 6; ++asked) {
             const TimePoint time = now + asked * 10ms;
             const bool admitted = takeToken(m_nodes[node], Organisation, time);
-            askAnother(node, time);
+            askAnother(node, !admitted, time);
             if (admitted)
                 return time;
         }
@@ -62,30 +65,39 @@
     void restart(std::size_t node, double rate, double burst, TimePoint now)
     {
         RateShares fresh;
-        fresh.m_nodes = static_cast<double>(m_nodes.size());
         fresh.m_settings = m_nodes[node].m_settings;
+        setSharers(fresh, std::to_string(node), m_sharers, now);
         setRate(fresh, Organisation, rate, burst, now);
         m_nodes[node] = fresh;
     }
 
+    void kill(std::size_t node) { m_dead.insert(node); }
+    bool isDead(std::size_t node) const { return m_dead.contains(node); }
+
+    const std::vector<RateSharer> &sharers() const { return m_sharers; }
     std::mt19937_64 &random() { return m_random; }
     std::size_t size() const { return m_nodes.size(); }
 
 private:
-    void askAnother(std::size_t node, TimePoint now)
+    void askAnother(std::size_t node, bool requestWaits, TimePoint now)
     {
-        const double wanted = tokensToAsk(m_nodes[node], Organisation, now);
-        const std::size_t other = m_random() % m_nodes.size();
-        if (!(wanted > 0) || isLost() || other == node)
+        const double wanted = tokensToAsk(m_nodes[node], Organisation, requestWaits, now);
+        const std::vector<std::string> &holders = rateHolders(m_nodes[node], Organisation);
+        if (!(wanted > 0) || isLost() || holders.empty())
+            return;
+        const std::size_t other = std::stoul(holders[m_random() % holders.size()]);
+        if (isDead(other))
             return;
         const double given = giveTokens(m_nodes[other], Organisation, wanted, now);
         if (given > 0 && !isLost())
-            addTokens(m_nodes[node], Organisation, given);
+            addTokens(m_nodes[node], Organisation, given, now);
     }
 
     bool isLost() { return std::uniform_real_distribution<double>()(m_random) < m_loss; }
 
+    std::vector<RateSharer> m_sharers;
     std::vector<RateShares> m_nodes;
+    std::set<std::size_t> m_dead;
     double m_loss;
     std::mt19937_64 m_random;
 };
@@ -150,6 +162,85 @@
     CHECK(refused * 100 <= requests);
 }
 
+// Guards against the rounding of each node's part to a whole request, which gives a fleet of many
+// nodes more than the burst of a small organisation.
+TEST_CASE("A small organisation keeps to its rate at many nodes")
+{
+    constexpr double Rate = 3.0;
+    constexpr double Burst = 3.0;
+    constexpr std::chrono::milliseconds Window = 5s;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Fleet fleet(85, Rate, Burst, 0.1, seed);
+        std::multiset<TimePoint> admitted;
+        for (int tick = 0; tick < 20000; ++tick) {
+            const TimePoint now = Start + tick * 1ms;
+            if (tick % 20 == 0) {
+                const std::size_t node = fleet.random()() % fleet.size();
+                if (const std::optional<TimePoint> time = fleet.request(node, now))
+                    admitted.insert(*time);
+            }
+            admitted.erase(admitted.begin(), admitted.lower_bound(now - Window));
+            const double bound = (Burst + Rate * std::chrono::duration<double>(Window).count())
+                            * (1.0 + AllowedOverage)
+                    + AllowedSlack;
+            REQUIRE(static_cast<double>(std::distance(admitted.begin(), admitted.upper_bound(now)))
+                    <= bound);
+        }
+    }
+}
+
+// Guards against refusals of small organisations whose tokens are scattered over many nodes in
+// parts that are too small to admit a request.
+TEST_CASE("A small organisation below its rate is hardly refused at many nodes")
+{
+    constexpr double Rate = 5.0;
+    Fleet fleet(85, Rate, Rate, 0.0, 11);
+    int refused = 0;
+    int requests = 0;
+    std::poisson_distribution<int> arrivals(Rate / 1.6 / 1000.0);
+    for (int tick = 0; tick < 300000; ++tick) {
+        const TimePoint now = Start + tick * 1ms;
+        const int count = arrivals(fleet.random());
+        for (int request = 0; request < count; ++request) {
+            const bool admitted = fleet.request(fleet.random()() % fleet.size(), now).has_value();
+            if (tick < 5000)
+                continue;
+            ++requests;
+            refused += admitted ? 0 : 1;
+        }
+    }
+    INFO(refused << " of " << requests);
+    CHECK(refused * 100 <= requests);
+}
+
+// Guards against a holder's death that costs an organisation more than its part.
+TEST_CASE("The loss of one holder refuses few requests below the rate")
+{
+    constexpr double Rate = 20.0;
+    Fleet fleet(85, Rate, Rate, 0.0, 5);
+    int refused = 0;
+    int requests = 0;
+    std::poisson_distribution<int> arrivals(Rate / 1.6 / 1000.0);
+    for (int tick = 0; tick < 25000; ++tick) {
+        const TimePoint now = Start + tick * 1ms;
+        if (tick == 15000)
+            fleet.kill(std::stoul(chooseRateHolders(fleet.sharers(), Organisation, Rate, 4.0)[0]));
+        const int count = arrivals(fleet.random());
+        for (int request = 0; request < count; ++request) {
+            const std::size_t node = fleet.random()() % fleet.size();
+            if (fleet.isDead(node))
+                continue;
+            const bool admitted = fleet.request(node, now).has_value();
+            if (tick < 15000)
+                continue;
+            ++requests;
+            refused += admitted ? 0 : 1;
+        }
+    }
+    INFO(refused << " of " << requests);
+    CHECK(refused * 20 <= requests);
+}
+
 // Guards against tokens that remain from a limit that was lowered.
 TEST_CASE("A lower limit takes effect at once")
 {
