Compare two drawn backend servers of each place instead of all

Cause: all nodes chose the best of all backend servers by reports that are up to 200 ms old (1 s from the other region). With 70 nodes they chose the same ones until the next reports; runs waited and were refused there while others had room. Long runs of callers, which queue behind nested ones, were refused most. Change: two targets of each place (own failure domain, own region, other region) are drawn at random and compared; the deciding node always considers its own backend server. Fleets with up to two backend servers a place choose as before. A line 'allotment-exceeded' states rate, part, tokens and demand behind each refusal over the allotment.

--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -186,6 +186,7 @@
 void EntryHandler::refuseOverAllotment(const std::shared_ptr<HttpSession> &session,
                                        EntryRequest request)
 {
+    logAllotment(request);
     const Milliseconds wait =
             std::max(ShortestAllotmentRetryAfter,
                      traffic::timeToToken(m_services.m_rates, request.m_organisation));
@@ -193,6 +194,26 @@
            "the organisation exceeds its allotment", wait);
 }
 
+void EntryHandler::logAllotment(const EntryRequest &request)
+{
+    const auto found = m_services.m_rates.m_organisations.find(request.m_organisation);
+    if (found == m_services.m_rates.m_organisations.end()
+        || !m_services.m_log.allows(LogTopic::Failure, std::chrono::steady_clock::now()))
+        return;
+    const traffic::RateShare &share = found->second;
+    m_services.m_log.write(LogTopic::Failure, adapters::LogLevel::Info,
+                           {{"event", "allotment-exceeded"},
+                            {"request", request.m_attempt},
+                            {"organisation", request.m_organisation},
+                            {"rate", std::to_string(share.m_rate)},
+                            {"burst", std::to_string(share.m_burst)},
+                            {"part", std::to_string(share.m_part)},
+                            {"tokens", std::to_string(share.m_tokens)},
+                            {"demand_here", std::to_string(share.m_demand)},
+                            {"holders", std::to_string(share.m_holders.size())},
+                            {"policy", std::to_string(m_services.m_policy.version())}});
+}
+
 void EntryHandler::admit(const std::shared_ptr<HttpSession> &session, EntryRequest request)
 {
     request.m_service = traffic::chooseSplitPart(m_services.m_splits, *request.m_route);
--- a/packages/relay/entry/entryhandler.h
+++ b/packages/relay/entry/entryhandler.h
@@ -37,6 +37,7 @@
     void waitForTokens(const std::shared_ptr<HttpSession> &session, EntryRequest request);
     void askAgain(std::uint64_t number);
     void askForTokens(const std::string &organisation, bool requestWaits, TimePoint now);
+    void logAllotment(const EntryRequest &request);
     void refuseOverAllotment(const std::shared_ptr<HttpSession> &session, EntryRequest request);
     void admit(const std::shared_ptr<HttpSession> &session, EntryRequest request);
 
--- a/packages/traffic/placement/placement.cpp
+++ b/packages/traffic/placement/placement.cpp
@@ -1,6 +1,8 @@
 #include "traffic/placement/placement.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace chervilmount::traffic {
 
@@ -58,31 +60,69 @@
     return cost;
 }
 
+using Indices = std::vector<std::size_t>;
+
+/** Leaves at most the given number, drawn at random, and the deciding node itself. */
+void drawSome(Indices &indices, std::span<const Target *const> targets, std::size_t count,
+              std::mt19937_64 &random)
+{
+    const auto self = std::find_if(indices.begin(), indices.end(), [&](std::size_t index) {
+        return targets[index]->m_node.empty();
+    });
+    std::size_t kept = 0;
+    if (self != indices.end()) {
+        std::iter_swap(indices.begin(), self);
+        kept = 1;
+    }
+    const std::size_t size = std::min(indices.size(), kept + count);
+    for (; kept < size; ++kept) {
+        std::uniform_int_distribution<std::size_t> rest(kept, indices.size() - 1);
+        std::swap(indices[kept], indices[rest(random)]);
+    }
+    indices.resize(size);
+}
+
+/** @returns the targets to be compared, in the order in which they were passed. */
+Indices candidatesOf(std::span<const Target *const> targets, const PlacementRequest &request,
+                     const PlacementSettings &settings, std::mt19937_64 &random,
+                     std::chrono::steady_clock::time_point now)
+{
+    std::array<Indices, routing::Places> byPlace;
+    Indices ejected;
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        const Target &target = *targets[index];
+        if (std::find(request.m_tried.begin(), request.m_tried.end(), target.m_node)
+            != request.m_tried.end())
+            continue;
+        if (routing::isEjected(target.m_outlier, now))
+            ejected.push_back(index);
+        else
+            byPlace.at(static_cast<std::size_t>(target.m_place)).push_back(index);
+    }
+    Indices candidates;
+    for (Indices &indices : byPlace) {
+        drawSome(indices, targets, settings.m_compared, random);
+        candidates.insert(candidates.end(), indices.begin(), indices.end());
+    }
+    return candidates.empty() ? ejected : candidates;
+}
+
 } // namespace
 
 std::optional<Placement> choosePlacement(std::span<const Target *const> targets,
                                          const PlacementRequest &request,
-                                         const PlacementSettings &settings,
+                                         const PlacementSettings &settings, std::mt19937_64 &random,
                                          std::chrono::steady_clock::time_point now)
 {
     std::optional<std::size_t> best;
     Cost bestCost;
-    bool bestEjected = false;
     const double unknownHold = fastestHold(targets);
-    for (std::size_t index = 0; index < targets.size(); ++index) {
-        const Target &target = *targets[index];
-        if (std::find(request.m_tried.begin(), request.m_tried.end(), target.m_node)
-            != request.m_tried.end())
-            continue;
-        const bool ejected = routing::isEjected(target.m_outlier, now);
-        const Cost targetCost = costOf(target, unknownHold, request.m_goesFirst, settings);
-        const bool better = !best || (bestEjected && !ejected)
-                || (bestEjected == ejected && targetCost.m_seconds < bestCost.m_seconds);
-        if (!better)
+    for (const std::size_t index : candidatesOf(targets, request, settings, random, now)) {
+        const Cost cost = costOf(*targets[index], unknownHold, request.m_goesFirst, settings);
+        if (best && cost.m_seconds >= bestCost.m_seconds)
             continue;
         best = index;
-        bestCost = targetCost;
-        bestEjected = ejected;
+        bestCost = cost;
     }
     if (!best)
         return std::nullopt;
--- a/packages/traffic/placement/placement.h
+++ b/packages/traffic/placement/placement.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <random>
 #include <span>
 #include <string>
 #include <vector>
@@ -25,6 +26,9 @@
     double m_firstWaitShare = 0.2;
     /** Wait that is accepted to stay in the own region, whose link is narrow and dear. */
     std::chrono::milliseconds m_regionPenalty{120};
+    /** Targets that are compared of each place, drawn at random. Where many nodes chose the best of
+     * all by the same reports, they would all send their calls there until the next reports. */
+    std::size_t m_compared = 2;
 };
 
 /** Load of a backend server as its node last reported it. */
@@ -70,10 +74,11 @@
  * Chooses the target that is expected to answer first, where leaving the failure domain or the
  * region counts as an additional wait. Ejected targets are chosen only if all are ejected.
  * @returns nothing if there is no target left.
+ * @see Mitzenmacher: How useful is old information? (2000), on choosing by reports of some age
  */
 std::optional<Placement> choosePlacement(std::span<const Target *const> targets,
                                          const PlacementRequest &request,
-                                         const PlacementSettings &settings,
+                                         const PlacementSettings &settings, std::mt19937_64 &random,
                                          std::chrono::steady_clock::time_point now);
 
 } // namespace chervilmount::traffic
--- a/tests/traffic/placement_test.cpp
+++ b/tests/traffic/placement_test.cpp
@@ -2,7 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
 #include <deque>
+#include <random>
 
 using namespace chervilmount;
 using namespace chervilmount::traffic;
@@ -25,16 +28,144 @@
         return target;
     }
 
-    std::string choose(const std::vector<std::string> &tried = {}, bool goesFirst = false) const
+    std::string choose(const std::vector<std::string> &tried = {}, bool goesFirst = false)
     {
-        const std::optional<Placement> placement =
-                choosePlacement(m_pointers, {tried, goesFirst}, PlacementSettings{}, Start);
+        const std::optional<Placement> placement = choosePlacement(
+                m_pointers, {tried, goesFirst}, PlacementSettings{}, m_random, Start);
         return placement ? m_pointers[placement->m_index]->m_node : "";
     }
 
 private:
     std::deque<Target> m_targets;
     std::vector<const Target *> m_pointers;
+    std::mt19937_64 m_random{1};
+};
+
+/** Backend servers that many nodes choose from by reports of some age. */
+class SharedServers
+{
+public:
+    static constexpr int Nodes = 70;
+    static constexpr int Servers = 22;
+    static constexpr int Domains = 4;
+    static constexpr int Slots = 35;
+    static constexpr double HoldSeconds = 0.055;
+    static constexpr int ReportMilliseconds = 200;
+    static constexpr int LongestWaitMilliseconds = 150;
+
+    SharedServers()
+    {
+        for (int number = 0; number < Nodes; ++number) {
+            Node &node = m_nodes[static_cast<std::size_t>(number)];
+            for (int server = 0; server < Servers; ++server) {
+                Target target;
+                target.m_node = std::to_string(server);
+                target.m_place = placeOf(number % Domains, server % Domains);
+                target.m_load = {Slots, 0, 0, HoldSeconds / speedOf(server)};
+                node.m_targets.push_back(target);
+            }
+            for (const Target &target : node.m_targets)
+                node.m_pointers.push_back(&target);
+        }
+    }
+
+    /** Plays calls at a part of the slots' capacity. */
+    void play(double load, int milliseconds)
+    {
+        double speeds = 0;
+        for (int server = 0; server < Servers; ++server)
+            speeds += speedOf(server);
+        std::poisson_distribution<int> arrivals(load * speeds * Slots / HoldSeconds / 1000.0);
+        for (int time = 0; time < milliseconds; ++time) {
+            report(time);
+            for (int count = arrivals(m_random); count > 0; --count)
+                run(place(time), time);
+        }
+    }
+
+    /** @returns the part of the calls that were refused after the longest wait. */
+    double refusedShare() const { return static_cast<double>(m_refused) / m_calls; }
+    /** @returns the average time to the answer, in milliseconds. */
+    double averageResponse() const { return m_responses / (m_calls - m_refused); }
+
+private:
+    struct Node
+    {
+        std::vector<Target> m_targets;
+        std::vector<const Target *> m_pointers;
+    };
+
+    static double speedOf(int server)
+    {
+        constexpr std::array<double, 3> Speeds{0.6, 1.0, 1.4};
+        return Speeds.at(static_cast<std::size_t>(server) % Speeds.size());
+    }
+
+    static routing::Place placeOf(int own, int other)
+    {
+        if (own == other)
+            return routing::Place::SameFailureDomain;
+        return own / 2 == other / 2 ? routing::Place::SameRegion : routing::Place::OtherRegion;
+    }
+
+    /** Runs of one backend server, by the times at which their slots are free again. */
+    struct Server
+    {
+        std::vector<double> m_free = std::vector<double>(Slots, 0.0);
+        std::vector<double> m_starts;
+    };
+
+    void run(std::size_t number, int time)
+    {
+        Server &server = m_servers[number];
+        const auto slot = std::min_element(server.m_free.begin(), server.m_free.end());
+        const double start = std::max<double>(time, *slot);
+        ++m_calls;
+        if (start - time > LongestWaitMilliseconds) {
+            ++m_refused;
+            return;
+        }
+        std::exponential_distribution<double> hold(1.0 / (HoldSeconds * 1000.0));
+        *slot = start + hold(m_random) / speedOf(static_cast<int>(number));
+        server.m_starts.push_back(start);
+        m_responses += *slot - time;
+    }
+
+    /** Each node gets the reports of all backend servers at moments of its own. */
+    void report(int time)
+    {
+        for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+            if ((time + static_cast<int>(node) * 3) % ReportMilliseconds != 0)
+                continue;
+            for (std::size_t number = 0; number < m_servers.size(); ++number) {
+                Server &server = m_servers[number];
+                std::erase_if(server.m_starts, [time](double start) { return start <= time; });
+                Target &target = m_nodes[node].m_targets[number];
+                target.m_load.m_waiting = static_cast<int>(server.m_starts.size());
+                target.m_load.m_running =
+                        static_cast<int>(std::count_if(server.m_free.begin(), server.m_free.end(),
+                                                       [time](double end) { return end > time; }));
+                target.m_sentSinceReport = 0;
+            }
+        }
+    }
+
+    std::size_t place(int time)
+    {
+        Node &node = m_nodes[m_random() % Nodes];
+        const std::optional<Placement> placement =
+                choosePlacement(node.m_pointers, {}, PlacementSettings{}, m_random,
+                                Start + std::chrono::milliseconds(time));
+        ++node.m_targets[placement->m_index].m_sentSinceReport;
+        return placement->m_index;
+    }
+
+    std::vector<Node> m_nodes{Nodes};
+    std::vector<Server> m_servers{Servers};
+    int m_calls = 0;
+    int m_refused = 0;
+    double m_responses = 0.0;
+    std::mt19937_64 m_random{3};
 };
 
 } // namespace
@@ -123,3 +254,13 @@
     CHECK(targets.choose() == "near");
     CHECK(targets.choose({"near"}) == "here");
 }
+
+// Guards against many nodes that all send their calls to the backend server that was least busy in
+// the last reports, so that calls are refused there while others have room.
+TEST_CASE("Many nodes with reports of some age do not fill single backend servers")
+{
+    SharedServers servers;
+    servers.play(0.8, 5000);
+    INFO("refused " << servers.refusedShare() << ", response " << servers.averageResponse());
+    CHECK(servers.refusedShare() <= 0.01);
+}
