Let three nodes of a region follow the policy at the store for the others

Each node also read the table twice at its start. Change: the first three reachable nodes of a region, by a hash of their names, follow the policy; they announce a new version at once and the others ask them for it. A node that cannot reach the store goes on trying. A follower that hears of a version from another node first reads the policy again. The first write of the node's row expects that there is none; the store answers with the row of an earlier process otherwise, so one read of the table is enough. Ruled out: one follower a region (a silent cut from the store goes unseen until its call ends).

--- a/packages/relay/control/noderegistry.cpp
+++ b/packages/relay/control/noderegistry.cpp
@@ -32,15 +32,15 @@
 void NodeRegistry::setDeparted(std::vector<traffic::DepartedInstance> departed)
 {
     m_departed = std::move(departed);
-    // Until the table has been read the row may hold departures that this process does not know.
-    if (m_hasRead)
+    // Until the first write has succeeded it is repeated anyway.
+    if (m_knowsOwnRow)
         write();
 }
 
 void NodeRegistry::setProfile(const traffic::CallProfile &profile)
 {
     m_profile = profile;
-    if (m_hasRead)
+    if (m_knowsOwnRow)
         write();
 }
 
@@ -52,10 +52,6 @@
     }
     m_writing = true;
     m_dirty = false;
-    if (!m_hasRead) {
-        readBeforeFirstWrite();
-        return;
-    }
     StoreRow row = toStoreRow({m_mesh.self(), m_departed, m_profile});
     row.m_version = m_version;
     m_store.write(NodeTable, row, [this, value = row.m_value](const WriteResult &result) {
@@ -70,44 +66,34 @@
         const bool stands =
                 result.m_status == WriteStatus::Written || result.m_row.m_value == value;
         if (!stands)
-            mergeConflict(result.m_row);
+            mergeRow(result.m_row);
+        m_knowsOwnRow = true;
         if (m_dirty || !stands)
             write();
-        else if (!std::exchange(m_hasReadAgain, true))
+        else if (!m_hasRead && !std::exchange(m_reading, true))
             read();
     });
 }
 
-void NodeRegistry::mergeConflict(const StoreRow &row)
+void NodeRegistry::mergeRow(const StoreRow &row)
 {
     if (m_log.allows(LogTopic::State, std::chrono::steady_clock::now()))
-        m_log.write(LogTopic::State, adapters::LogLevel::Warn,
-                    {{"event", "node-row-conflict"}, {"version", std::to_string(row.m_version)}});
-    // Only processes of this node write the row: an earlier write was performed after all.
+        m_log.write(LogTopic::State, adapters::LogLevel::Info,
+                    {{"event", m_knowsOwnRow ? "node-row-conflict" : "node-row-found"},
+                     {"version", std::to_string(row.m_version)}});
+    // Only processes of this node write the row: an earlier one, or an earlier write of this one
+    // whose outcome was unknown.
     const std::optional<NodeRow> node = parseNodeRow(row);
     if (!node)
         return;
+    if (m_profile.empty())
+        m_profile = node->m_profile;
     // The callback asks for a write of the merged row, which the caller does.
     m_writing = true;
     m_onOwnRow(*node);
     m_writing = false;
 }
 
-void NodeRegistry::readBeforeFirstWrite()
-{
-    m_store.read(NodeTable, [this](bool succeeded, const std::vector<StoreRow> &rows) {
-        m_writing = false;
-        if (!succeeded) {
-            retry([this] { write(); });
-            return;
-        }
-        for (const StoreRow &row : rows)
-            learn(row);
-        m_hasRead = true;
-        write();
-    });
-}
-
 void NodeRegistry::read()
 {
     m_store.read(NodeTable, [this](bool succeeded, const std::vector<StoreRow> &rows) {
@@ -117,6 +103,7 @@
         }
         for (const StoreRow &row : rows)
             learn(row);
+        m_hasRead = true;
     });
 }
 
@@ -132,11 +119,6 @@
     if (node->m_record.m_node != m_mesh.self().m_node) {
         m_mesh.learn(node->m_record);
         m_mesh.learnProfile(node->m_record.m_node, node->m_profile);
-    } else if (!m_hasRead) {
-        m_version = row.m_version;
-        if (m_profile.empty())
-            m_profile = node->m_profile;
-        m_onOwnRow(*node);
     }
 }
 
--- a/packages/relay/control/noderegistry.h
+++ b/packages/relay/control/noderegistry.h
@@ -13,7 +13,8 @@
 /**
  * Makes the node known to others by its row in the store, and finds the others there. The row is
  * written before the table is read: of two nodes that start together at least one sees the other,
- * and dials it.
+ * and dials it. The first write expects that there is no row; otherwise the store answers with the
+ * row that an earlier process of this node has left.
  */
 class NodeRegistry
 {
@@ -21,7 +22,7 @@
     NodeRegistry(SharedStore &store, Mesh &mesh, TimerQueue &timers, BoundedLog &log,
                  std::mt19937_64 &random);
 
-    /** Reads the table and writes the row; repeated until both have succeeded. */
+    /** Writes the row and reads the table; repeated until both have succeeded. */
     void start();
 
     /** Write the row again because what it holds has changed. @{ */
@@ -29,6 +30,8 @@
     void setProfile(const traffic::CallProfile &profile);
     /** @} */
 
+    /** @returns whether it is known what this node's row held before the start. */
+    bool knowsOwnRow() const { return m_knowsOwnRow; }
     /** @returns whether the table has been read since the start. */
     bool hasRead() const { return m_hasRead; }
 
@@ -37,8 +40,7 @@
 
 private:
     void write();
-    void mergeConflict(const StoreRow &row);
-    void readBeforeFirstWrite();
+    void mergeRow(const StoreRow &row);
     void read();
     void learn(const StoreRow &row);
     void retry(const std::function<void()> &action);
@@ -52,9 +54,9 @@
     traffic::CallProfile m_profile;
     /** Version of this node's row as far as known; 0 if it does not exist. */
     std::uint64_t m_version = 0;
+    bool m_knowsOwnRow = false;
+    bool m_reading = false;
     bool m_hasRead = false;
-    /** The table has been read again after the first write. */
-    bool m_hasReadAgain = false;
     bool m_writing = false;
     bool m_dirty = false;
     int m_failures = 0;
--- a/packages/relay/frames/framecodec.cpp
+++ b/packages/relay/frames/framecodec.cpp
@@ -103,6 +103,7 @@
         write(*status.m_record, *message.mutable_record());
     write(status.m_load, *message.mutable_load());
     message.set_policy_version(status.m_policyVersion);
+    message.set_reaches_store(status.m_reachesStore);
     for (const auto &[route, observed] : status.m_profile) {
         wire::RouteProfile &profile = *message.add_profile();
         profile.set_route(route);
@@ -197,6 +198,7 @@
         status.m_record = read(message.record());
     status.m_load = read(message.load());
     status.m_policyVersion = message.policy_version();
+    status.m_reachesStore = message.reaches_store();
     for (const wire::RouteProfile &profile : message.profile()) {
         traffic::RouteProfile &observed = status.m_profile[profile.route()];
         observed.m_runs = profile.runs();
--- a/packages/relay/frames/frames.h
+++ b/packages/relay/frames/frames.h
@@ -60,6 +60,8 @@
     traffic::CallProfile m_profile;
     /** What callers ask for: of the sender, or of its whole region if it is sent to another one. */
     traffic::Demand m_demand;
+    /** The sender's last calls to the store were answered. */
+    bool m_reachesStore = false;
 };
 
 /** Asks the node beside a backend server to run a request there. */
--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -80,13 +80,18 @@
 {
     change(m_self);
     ++m_self.m_version;
+    for (const std::shared_ptr<Session> &session : m_sessions)
+        session->m_reportedSelf = false;
+    sendStatuses();
+}
+
+void Mesh::sendStatuses()
+{
     const TimePoint now = std::chrono::steady_clock::now();
     // A link that fails while it is written to leaves the list.
     const std::list<std::shared_ptr<Session>> sessions = m_sessions;
-    for (const std::shared_ptr<Session> &session : sessions) {
-        session->m_reportedSelf = false;
+    for (const std::shared_ptr<Session> &session : sessions)
         sendStatus(*session, now);
-    }
 }
 
 void Mesh::tick(TimePoint now)
@@ -365,6 +370,7 @@
         if (!status->m_profile.empty())
             peer.m_profile = std::move(status->m_profile);
         peer.m_demand = std::move(status->m_demand);
+        peer.m_reachesStore = status->m_reachesStore;
         m_handlers.m_onPolicyVersion(peer.m_record.m_node, status->m_policyVersion);
     } else if (Answer *answer = std::get_if<Answer>(&frame)) {
         peer.m_target.m_load = answer->m_load;
--- a/packages/relay/link/mesh.h
+++ b/packages/relay/link/mesh.h
@@ -50,6 +50,8 @@
     bool m_connecting = false;
     /** The other node has introduced itself on the link. */
     bool m_greeted = false;
+    /** The other node's last calls to the store were answered. */
+    bool m_reachesStore = false;
     std::chrono::steady_clock::time_point m_heardAt;
     std::chrono::steady_clock::time_point m_nextDial;
     std::chrono::steady_clock::time_point m_lostAt;
@@ -92,6 +94,9 @@
     /** Changes this node's record and tells the others at once. */
     void updateSelf(const std::function<void(NodeRecord &)> &change);
 
+    /** Sends all other nodes a status at once. */
+    void sendStatuses();
+
     const NodeRecord &self() const { return m_self; }
 
     /** Dials, gives up silent links and sends statuses; to be called every 100 ms. */
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -1,5 +1,7 @@
 #include "relay/runtime/relaynode.h"
 
+#include "traffic/follow/policyfollower.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -103,6 +105,7 @@
         m_gate.restoreProfile(row.m_profile);
     };
     m_store.m_onReachable = [this](bool reachable) {
+        m_reachesStore = reachable;
         logState(reachable ? "store-reachable" : "store-lost", {});
     };
     m_store.followPolicy(
@@ -184,6 +187,7 @@
         Status status;
         status.m_load = m_gate.load();
         status.m_policyVersion = m_policy.version();
+        status.m_reachesStore = m_reachesStore;
         status.m_demand = m_loads.demandFor(receiver, m_mesh, std::chrono::steady_clock::now());
         if (withProfile)
             status.m_profile = m_gate.profile();
@@ -246,22 +250,51 @@
     for (const traffic::OrganisationPolicy &organisation : policy.m_organisations)
         traffic::setRate(m_rates, organisation.m_name, organisation.m_rate, organisation.m_burst,
                          now);
+    // Nodes that do not follow the policy themselves hear of it here.
+    if (m_followsPolicy)
+        m_mesh.sendStatuses();
 }
 
 void RelayNode::policyAnnounced(const std::string &node, std::uint64_t version)
 {
-    if (version <= m_policy.version() || version <= m_requestedPolicy)
+    if (version <= m_policy.version())
         return;
-    m_requestedPolicy = version;
-    const Milliseconds delay = m_policy.current() ? PolicyFromPeerDelay : Milliseconds{0};
-    m_timers.add(std::chrono::steady_clock::now() + delay, [this, node, version] {
+    const TimePoint now = std::chrono::steady_clock::now();
+    const bool atOnce = !m_policy.current() || (!m_followsPolicy && isInRegion(node));
+    if (version <= m_requestedPolicy && now < m_requestedPolicyUntil)
+        return;
+    if (atOnce) {
+        requestPolicy(node, version);
+        return;
+    }
+    if (version <= m_delayedPolicy)
+        return;
+    m_delayedPolicy = version;
+    m_timers.add(now + PolicyFromPeerDelay, [this, node, version] {
+        m_delayedPolicy = 0;
         if (m_policy.version() >= version)
             return;
-        m_requestedPolicy = 0;
-        m_mesh.requestPolicy(node);
+        requestPolicy(node, version);
+        // The own call for changes would have delivered the version by now.
+        if (m_followsPolicy && m_reachesStore)
+            m_store.restartFollowing();
     });
 }
 
+void RelayNode::requestPolicy(const std::string &node, std::uint64_t version)
+{
+    m_requestedPolicy = version;
+    m_requestedPolicyUntil = std::chrono::steady_clock::now() + PolicyFromPeerDelay;
+    m_mesh.requestPolicy(node);
+}
+
+bool RelayNode::isInRegion(const std::string &node) const
+{
+    const auto peer = m_mesh.peers().find(node);
+    return peer != m_mesh.peers().end()
+            && peer->second->m_record.m_region == m_mesh.self().m_region;
+}
+
 void RelayNode::backendChanged()
 {
     const traffic::InstanceRegister &instances = m_backend.instances();
@@ -283,6 +316,7 @@
     m_loads.update(m_mesh, m_backend.instances(), now);
     recordProfile(now);
     updateSharers(now);
+    updateFollowing(now);
     if (now >= m_nextTimeoutCheck) {
         m_nextTimeoutCheck = now + TimeoutCheckInterval;
         m_callers.checkTimeouts(now);
@@ -296,7 +330,7 @@
         m_nextSheddingLog = now + SheddingLogInterval;
         logShedding(now);
     }
-    if (m_policy.current() && m_registry.hasRead() && !m_backend.instances().m_current) {
+    if (m_policy.current() && m_registry.knowsOwnRow() && !m_backend.instances().m_current) {
         const traffic::ServicePolicy *service =
                 m_policy.current()->serviceNamed(m_settings.m_service);
         if (service != nullptr)
@@ -320,6 +354,25 @@
     traffic::setSharers(m_rates, m_mesh.self().m_node, std::move(sharers), now);
 }
 
+void RelayNode::updateFollowing(TimePoint now)
+{
+    std::vector<traffic::FollowerCandidate> others;
+    for (const auto &[node, peer] : m_mesh.peers()) {
+        if (peer->m_record.m_region == m_mesh.self().m_region)
+            others.push_back({node, m_mesh.isFresh(*peer, now) && !peer->m_record.m_leaving,
+                              peer->m_reachesStore});
+    }
+    const bool follows =
+            traffic::shouldFollowPolicy({m_mesh.self().m_node, true, m_reachesStore}, others);
+    if (follows == m_followsPolicy)
+        return;
+    m_followsPolicy = follows;
+    m_store.setFollowing(follows);
+    logState(follows ? "policy-following" : "policy-not-following",
+             {{"candidates", std::to_string(others.size())},
+              {"reaches_store", m_reachesStore ? "true" : "false"}});
+}
+
 void RelayNode::recordProfile(TimePoint now)
 {
     if (now < m_nextProfileRecord)
--- a/packages/relay/runtime/relaynode.h
+++ b/packages/relay/runtime/relaynode.h
@@ -76,6 +76,9 @@
     void logReadiness(TimePoint now);
     void logShedding(TimePoint now);
     void updateSharers(TimePoint now);
+    void updateFollowing(TimePoint now);
+    void requestPolicy(const std::string &node, std::uint64_t version);
+    bool isInRegion(const std::string &node) const;
     void recordProfile(TimePoint now);
     void logState(const std::string &event, std::vector<adapters::LogField> fields);
 
@@ -105,6 +108,12 @@
     HttpServer m_announcements;
     std::unique_ptr<HttpServer> m_metricsServer;
     std::uint64_t m_requestedPolicy = 0;
+    /** Version that is requested if the own call for changes does not deliver it soon. */
+    std::uint64_t m_delayedPolicy = 0;
+    /** When the requested policy may be requested again. */
+    std::chrono::steady_clock::time_point m_requestedPolicyUntil;
+    bool m_reachesStore = true;
+    bool m_followsPolicy = true;
     TimePoint m_linkedAt;
     TimePoint m_stopRequestedAt;
     TimePoint m_nextTimeoutCheck;
--- a/packages/relay/store/sharedstore.h
+++ b/packages/relay/store/sharedstore.h
@@ -63,6 +63,13 @@
      */
     virtual void followPolicy(std::function<void(const PolicyDocument &)> callback) = 0;
 
+    /** Stops or resumes following. What has been missed meanwhile is read on resuming. */
+    virtual void setFollowing(bool follows) = 0;
+
+    /** Reads the policy again and follows it from there, for the case that the waiting call for
+     * changes has silently lost its connection. */
+    virtual void restartFollowing() = 0;
+
     /** Called with false when the store cannot be reached any more, with true when it can again. */
     std::function<void(bool)> m_onReachable;
 
--- a/tests/platform/lifecycle_test.cpp
+++ b/tests/platform/lifecycle_test.cpp
@@ -277,3 +277,54 @@
     CHECK(fleet.runUntil([&fleet] { return fleet.settle(); }, 8s));
     CHECK(fleet.request(*fleet.m_nodes[0], {}, "a1").m_status == 200);
 }
+
+// Guards against calls for changes from every node, and against nodes that miss a version because
+// they make none.
+TEST_CASE("Nodes that do not follow the policy themselves get new versions from those that do")
+{
+    Fleet fleet;
+    for (int node = 0; node < 7; ++node)
+        fleet.addNode("n" + std::to_string(node), "slipdesk");
+    fleet.configure(1);
+    REQUIRE(fleet.settle());
+    fleet.runFor(500ms);
+    // The calls that wait since the start are answered by the first change.
+    fleet.configure(2);
+    fleet.runFor(600ms);
+    const int before = fleet.m_store.m_calls["/rows-feed"];
+    fleet.configure(3);
+    CHECK(fleet.runUntil(
+            [&fleet] {
+                for (const std::unique_ptr<FleetNode> &node : fleet.m_nodes) {
+                    if (node->m_node->policyVersion() != 3)
+                        return false;
+                }
+                return true;
+            },
+            1s));
+    fleet.runFor(600ms);
+    CHECK(fleet.m_store.m_calls["/rows-feed"] - before <= 3);
+}
+
+// Guards against a region that no longer hears of new versions when its followers are gone.
+TEST_CASE("Followers of the policy that are killed are replaced in time")
+{
+    Fleet fleet;
+    for (int node = 0; node < 7; ++node)
+        fleet.addNode("n" + std::to_string(node), "slipdesk");
+    fleet.configure(1);
+    REQUIRE(fleet.settle());
+    fleet.runFor(500ms);
+    fleet.configure(2);
+    fleet.runFor(600ms);
+    // Three of seven follow; whichever they are, few of the other four are left.
+    for (int node = 0; node < 5; ++node)
+        fleet.kill(*fleet.m_nodes[static_cast<std::size_t>(node)]);
+    fleet.configure(3);
+    CHECK(fleet.runUntil(
+            [&fleet] {
+                return fleet.m_nodes[5]->m_node->policyVersion() == 3
+                        && fleet.m_nodes[6]->m_node->policyVersion() == 3;
+            },
+            2s));
+}
