Compare backend servers by hold times relative to the route

Cause: the average hold time of a backend server depends on the mix of routes that it happens to get, and a backend server that was slow at its start got no calls that could have corrected its average. Change: each node reports how long its runs hold a slot relative to the average of their route over the fleet; after a pause a run counts more, failures do not count. The expected hold of a call is its route's average times this value. 2 % of the calls, except the most important ones, take a drawn backend server of the own region with room.

--- a/packages/relay/control/loadexchange.cpp
+++ b/packages/relay/control/loadexchange.cpp
@@ -25,6 +25,15 @@
     return traffic::admitTree(m_admission, route, costs, level);
 }
 
+std::chrono::duration<double> LoadExchange::expectedHold(const std::string &route) const
+{
+    constexpr double FewRuns = 10.0;
+    const auto found = m_profile.find(route);
+    if (found == m_profile.end() || found->second.m_runs < FewRuns)
+        return {};
+    return std::chrono::duration<double>(found->second.m_activeSeconds / found->second.m_runs);
+}
+
 const std::vector<traffic::TreeCost> &LoadExchange::costsOf(const traffic::PolicyIndex &policy,
                                                             const traffic::RoutePolicy &route,
                                                             const std::string &service)
--- a/packages/relay/control/loadexchange.h
+++ b/packages/relay/control/loadexchange.h
@@ -25,6 +25,10 @@
 
     LoadExchange(const traffic::TreeAdmissionSettings &settings, LocalGate &gate);
 
+    /** @returns the average time that runs of a route hold a slot, over all nodes; 0 if hardly any
+     * run has been observed. */
+    std::chrono::duration<double> expectedHold(const std::string &route) const;
+
     /** Decides on a request with these costs and counts it in the demand. */
     traffic::TreeDecision decide(const std::string &route,
                                  const std::vector<traffic::TreeCost> &costs, int level,
--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -66,9 +66,11 @@
         own.m_load = m_services.m_gate.load();
         targets.push_back(&own);
     }
-    const std::optional<traffic::Placement> placement =
-            traffic::choosePlacement(targets, {m_tried, m_entry.m_priority == 0},
-                                     m_services.m_settings.m_placement, m_services.m_random, now);
+    const std::optional<traffic::Placement> placement = traffic::choosePlacement(
+            targets,
+            {m_tried, m_entry.m_priority == 0,
+             m_services.m_loads.expectedHold(m_entry.m_route->m_name).count()},
+            m_services.m_settings.m_placement, m_services.m_random, now);
     if (!placement || m_tried.size() >= MostNodesAsked) {
         refuseWithoutRoom(targets.empty() ? "no backend server" : "no room");
         return;
--- a/packages/relay/frames/framecodec.cpp
+++ b/packages/relay/frames/framecodec.cpp
@@ -22,12 +22,14 @@
     message.set_running(static_cast<std::uint32_t>(load.m_running));
     message.set_waiting(static_cast<std::uint32_t>(load.m_waiting));
     message.set_hold_microseconds(static_cast<std::uint32_t>(load.m_holdSeconds * 1e6));
+    message.set_relative_hold(static_cast<std::uint32_t>(load.m_relativeHold * 1e3));
 }
 
 traffic::TargetLoad read(const wire::Load &message)
 {
     return {static_cast<int>(message.limit()), static_cast<int>(message.running()),
-            static_cast<int>(message.waiting()), message.hold_microseconds() * 1e-6};
+            static_cast<int>(message.waiting()), message.hold_microseconds() * 1e-6,
+            message.relative_hold() * 1e-3};
 }
 
 void write(const NodeRecord &record, wire::NodeRecord &message)
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -53,6 +53,7 @@
         || m_instance->m_startedAt != instance.m_startedAt) {
         m_pool.clear();
         m_gate.m_holdSeconds = 0.0;
+        m_relativeHold = {};
     }
     m_pool.setAddress(instance.m_address);
     m_instance = instance;
@@ -176,6 +177,7 @@
     load.m_running = m_gate.m_running;
     load.m_waiting = static_cast<int>(m_gate.m_queue.m_size);
     load.m_holdSeconds = m_gate.m_holdSeconds;
+    load.m_relativeHold = m_relativeHold.m_value;
     return load;
 }
 
@@ -388,7 +390,12 @@
         m_active.erase(active);
     const bool ran = std::holds_alternative<Answer>(result)
             || std::get<Failure>(result).m_reason == FailureReason::Timeout;
-    const std::chrono::nanoseconds held = std::chrono::steady_clock::now() - run.m_startedAt;
+    const TimePoint now = std::chrono::steady_clock::now();
+    const std::chrono::nanoseconds held = now - run.m_startedAt;
+    const Answer *ended = std::get_if<Answer>(&result);
+    // Failures end early and would make a failing backend server look fast.
+    if (ended != nullptr && ended->m_status < 500 && m_expectedHold)
+        traffic::recordHold(m_relativeHold, held, m_expectedHold(run.m_call.m_route), now);
     traffic::finishRun(m_gate, ran ? held : std::chrono::nanoseconds{0});
     // Failed runs count as well: they have held the slot and made calls.
     if (run.m_sent)
--- a/packages/relay/inbound/localgate.h
+++ b/packages/relay/inbound/localgate.h
@@ -10,6 +10,7 @@
 #include "traffic/gate/gate.h"
 #include "traffic/instance/instanceregister.h"
 #include "traffic/lineage/lineage.h"
+#include "traffic/placement/relativehold.h"
 #include "traffic/profile/callprofile.h"
 
 #include <cstdint>
@@ -82,6 +83,9 @@
 
     /** Called when the backend server says that another one has taken its place. */
     std::function<void()> m_onInstanceGone;
+    /** @returns the average time that runs of a route hold a slot, at all backend servers; 0 if
+     * unknown. */
+    std::function<std::chrono::duration<double>(const std::string &route)> m_expectedHold;
 
 private:
     struct Run
@@ -118,6 +122,7 @@
     Counters &m_counters;
     BoundedLog &m_log;
     BackendPool m_pool;
+    traffic::RelativeHold m_relativeHold;
     traffic::Gate m_gate;
     traffic::Lineage m_lineage;
     traffic::CallProfile m_profile;
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -89,6 +89,9 @@
     m_rates.m_settings = m_settings.m_rates;
     m_repeats.m_settings = m_settings.m_repeats;
     m_linkedAt = std::chrono::steady_clock::now();
+    m_gate.m_expectedHold = [this](const std::string &route) {
+        return m_loads.expectedHold(route);
+    };
     m_policy.m_onChanged = [this] { policyChanged(); };
     m_backend.m_isKnownService = [this](const std::string &service) {
         return service == m_settings.m_service
--- a/packages/traffic/placement/placement.cpp
+++ b/packages/traffic/placement/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 namespace chervilmount::traffic {
@@ -41,14 +42,18 @@
     double m_waitSeconds = 0.0;
 };
 
-Cost costOf(const Target &target, double unknownHold, bool goesFirst,
+Cost costOf(const Target &target, double unknownHold, const PlacementRequest &request,
             const PlacementSettings &settings)
 {
+    // A queue moves on at the pace of the runs that are there, whatever this call's own route.
     const double hold = target.m_load.m_holdSeconds > 0 ? target.m_load.m_holdSeconds : unknownHold;
     Cost cost;
-    const double waitShare = goesFirst ? settings.m_firstWaitShare : 1.0;
+    const double waitShare = request.m_goesFirst ? settings.m_firstWaitShare : 1.0;
     cost.m_waitSeconds = std::max(0.0, usedShare(target) - 1.0) * hold * waitShare;
-    cost.m_seconds = hold + cost.m_waitSeconds;
+    const double relative = target.m_load.m_relativeHold;
+    const double own =
+            request.m_holdSeconds > 0 && relative > 0 ? request.m_holdSeconds * relative : hold;
+    cost.m_seconds = own + cost.m_waitSeconds;
     // Spreads calls before the backend server is full, in proportion to the room that is left.
     cost.m_seconds += std::max(0.0, usedShare(target) - BusyShare) * hold * waitShare;
     if (!target.m_node.empty())
@@ -107,6 +112,21 @@
     return candidates.empty() ? ejected : candidates;
 }
 
+void keepOneOfRegion(Indices &candidates, std::span<const Target *const> targets,
+                     std::mt19937_64 &random)
+{
+    Indices near;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(near),
+                 [&targets](std::size_t index) {
+                     return targets[index]->m_place != routing::Place::OtherRegion
+                             && usedShare(*targets[index]) < BusyShare;
+                 });
+    if (near.empty())
+        return;
+    std::uniform_int_distribution<std::size_t> any(0, near.size() - 1);
+    candidates = {near[any(random)]};
+}
+
 } // namespace
 
 std::optional<Placement> choosePlacement(std::span<const Target *const> targets,
@@ -117,8 +137,12 @@
     std::optional<std::size_t> best;
     Cost bestCost;
     const double unknownHold = fastestHold(targets);
-    for (const std::size_t index : candidatesOf(targets, request, settings, random, now)) {
-        const Cost cost = costOf(*targets[index], unknownHold, request.m_goesFirst, settings);
+    Indices candidates = candidatesOf(targets, request, settings, random, now);
+    if (!request.m_goesFirst
+        && std::uniform_real_distribution<double>()(random) < settings.m_exploredShare)
+        keepOneOfRegion(candidates, targets, random);
+    for (const std::size_t index : candidates) {
+        const Cost cost = costOf(*targets[index], unknownHold, request, settings);
         if (best && cost.m_seconds >= bestCost.m_seconds)
             continue;
         best = index;
--- a/packages/traffic/placement/placement.h
+++ b/packages/traffic/placement/placement.h
@@ -29,6 +29,9 @@
     /** Targets that are compared of each place, drawn at random. Where many nodes chose the best of
      * all by the same reports, they would all send their calls there until the next reports. */
     std::size_t m_compared = 2;
+    /** Part of the calls that take a target of the own region at random. Targets that look slow
+     * get no calls otherwise, and would look slow for ever. */
+    double m_exploredShare = 0.02;
 };
 
 /** Load of a backend server as its node last reported it. */
@@ -39,6 +42,8 @@
     int m_waiting = 0;
     /** Average time that a run holds a slot, in seconds; 0 if unknown. */
     double m_holdSeconds = 0.0;
+    /** The same relative to runs of the same routes at all backend servers; 0 if unknown. */
+    double m_relativeHold = 0.0;
 };
 
 /** A node with the backend server beside it, as seen by a calling node. */
@@ -60,6 +65,8 @@
     std::span<const std::string> m_tried;
     /** The call is of the most important ones, which are first in every queue. */
     bool m_goesFirst = false;
+    /** Average time that runs of its route hold a slot, in seconds; 0 if unknown. */
+    double m_holdSeconds = 0.0;
 };
 
 /** A chosen target. */
--- a/tests/traffic/placement_test.cpp
+++ b/tests/traffic/placement_test.cpp
@@ -1,4 +1,5 @@
 #include "traffic/placement/placement.h"
+#include "traffic/placement/relativehold.h"
 
 #include <catch2/catch.hpp>
 
@@ -264,3 +265,59 @@
     INFO("refused " << servers.refusedShare() << ", response " << servers.averageResponse());
     CHECK(servers.refusedShare() <= 0.01);
 }
+
+// Guards against a backend server that counts as slow because its runs are of a longer route.
+TEST_CASE("The mix of routes does not decide which backend server is fast")
+{
+    RelativeHold shortRuns;
+    RelativeHold longRuns;
+    for (int run = 1; run <= 50; ++run) {
+        recordHold(shortRuns, 15ms, 15ms, Start + run * 20ms);
+        recordHold(longRuns, 300ms, 300ms, Start + run * 20ms);
+    }
+    CHECK(shortRuns.m_value == Approx(1.0));
+    CHECK(longRuns.m_value == Approx(1.0));
+    PlacementSettings settings;
+    settings.m_exploredShare = 0.0;
+    std::mt19937_64 random{1};
+    Target here;
+    here.m_node = "here";
+    here.m_load = {20, 5, 0, 0.3, longRuns.m_value};
+    Target far;
+    far.m_node = "far";
+    far.m_place = routing::Place::OtherRegion;
+    far.m_load = {20, 5, 0, 0.015, shortRuns.m_value};
+    const std::vector<const Target *> targets{&far, &here};
+    const std::optional<Placement> placement =
+            choosePlacement(targets, {{}, false, 0.3}, settings, random, Start);
+    REQUIRE(placement);
+    CHECK(targets[placement->m_index]->m_node == "here");
+}
+
+// Guards against a backend server that was slow once, gets no calls and so looks slow for ever.
+TEST_CASE("A backend server that was slow at its start gets its share again within seconds")
+{
+    PlacementSettings settings;
+    std::mt19937_64 random{1};
+    std::array<RelativeHold, 2> holds;
+    std::array<Target, 2> targets;
+    targets[0].m_node = "first";
+    targets[1].m_node = "second";
+    const std::vector<const Target *> pointers{&targets[0], &targets[1]};
+    recordHold(holds[0], 100ms, 100ms, Start);
+    recordHold(holds[1], 400ms, 100ms, Start);
+    int second = 0;
+    for (int call = 0; call < 1000; ++call) {
+        // A hundred calls a second; both are equally fast by now, and the first is nearly full.
+        const auto now = Start + call * 10ms;
+        targets[0].m_load = {20, 17, 0, 0.1, holds[0].m_value};
+        targets[1].m_load = {20, 2, 0, 0.1, holds[1].m_value};
+        const std::optional<Placement> placement =
+                choosePlacement(pointers, {{}, false, 0.1}, settings, random, now);
+        const double noise = std::uniform_real_distribution<double>(0.8, 1.2)(random);
+        recordHold(holds.at(placement->m_index), 100ms * noise, 100ms, now);
+        if (call >= 500)
+            second += placement->m_index == 1 ? 1 : 0;
+    }
+    CHECK(second >= 100);
+}
