Admit nothing by allotment until it is known who shares the rates

Cause: since the table is read only after the first write, a node that started knew nobody for some 100 ms and refilled its buckets with the whole rate of every organisation. Change: nodes have no tokens until they have read the table, or, while the store is away, until others have been linked for 1.5 s (other nodes dial a node that starts anew). Ruled out: tokens kept ahead of need (new test with shifting demand and a surge keeps to the bound).

--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -20,6 +20,8 @@
 /** @} */
 /** Time in which the store's own feed normally delivers a version that another node has. */
 constexpr Milliseconds PolicyFromPeerDelay{300};
+/** Time in which the other nodes dial a node that starts anew. */
+constexpr Milliseconds OthersLinkWithin{1500};
 /** A node without any link to others for this long tells callers to use another one. */
 constexpr Milliseconds IsolatedUntilUnready{1500};
 /** Nodes that have been unreachable for longer no longer share the organisations' rates. */
@@ -345,6 +347,11 @@
 
 void RelayNode::updateSharers(TimePoint now)
 {
+    if (m_mesh.linkedPeers() == 0)
+        m_linkedSince = now;
+    // Without the table the other nodes are known only by the links that they make.
+    if (!m_registry.hasRead() && now - m_linkedSince < OthersLinkWithin)
+        return;
     std::vector<traffic::RateSharer> sharers{{m_mesh.self().m_node, m_mesh.self().m_region}};
     for (const auto &[node, peer] : m_mesh.peers()) {
         if (peer->m_link || now - peer->m_lostAt < ShareKeptFor || peer->m_lostAt == TimePoint())
--- a/packages/relay/runtime/relaynode.h
+++ b/packages/relay/runtime/relaynode.h
@@ -112,6 +112,8 @@
     std::uint64_t m_delayedPolicy = 0;
     /** When the requested policy may be requested again. */
     std::chrono::steady_clock::time_point m_requestedPolicyUntil;
+    /** Since when there has been a link to another node without a gap. */
+    std::chrono::steady_clock::time_point m_linkedSince;
     bool m_reachesStore = true;
     bool m_followsPolicy = true;
     TimePoint m_linkedAt;
--- a/packages/traffic/allotment/rateshare.h
+++ b/packages/traffic/allotment/rateshare.h
@@ -36,8 +36,9 @@
 {
     double m_rate = 0.0;
     double m_burst = 0.0;
-    /** Part of rate and burst that is this node's own; 0 if other nodes hold the tokens. */
-    double m_part = 1.0;
+    /** Part of rate and burst that is this node's own; 0 if other nodes hold the tokens, or until
+     * it is known who shares the rates. */
+    double m_part = 0.0;
     /** Other nodes that hold tokens. */
     std::vector<std::string> m_holders;
     double m_tokens = 0.0;
@@ -69,7 +70,9 @@
     std::unordered_map<std::string, RateShare> m_organisations;
 };
 
-/** Sets the nodes that share the rates, including this one. */
+/** Sets the nodes that share the rates, including this one. Before the first call there are no
+ * tokens: a node that takes the whole rate for itself until it knows of the others would exceed it.
+ */
 void setSharers(RateShares &shares, const std::string &self, std::vector<RateSharer> sharers,
                 std::chrono::steady_clock::time_point now);
 
--- a/tests/traffic/rateshare_test.cpp
+++ b/tests/traffic/rateshare_test.cpp
@@ -162,6 +162,38 @@
     CHECK(refused * 100 <= requests);
 }
 
+// Guards against tokens that nodes have asked for ahead of need and keep beside the burst, until an
+// organisation suddenly sends many times its usual.
+TEST_CASE("A sudden surge after steady demand keeps to the bound")
+{
+    constexpr double Rate = 320.0;
+    constexpr double Burst = 320.0;
+    constexpr std::chrono::milliseconds Window = 5s;
+    const double bound =
+            (Burst + Rate * std::chrono::duration<double>(Window).count()) * (1.0 + AllowedOverage)
+            + AllowedSlack;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        Fleet fleet(16, Rate, Burst, 0.0, seed);
+        std::multiset<TimePoint> admitted;
+        for (int tick = 0; tick < 16000; ++tick) {
+            const TimePoint now = Start + tick * 1ms;
+            std::poisson_distribution<int> arrivals((tick < 8000 ? 0.62 : 4.0) * Rate / 1000.0);
+            for (int count = arrivals(fleet.random()); count > 0; --count) {
+                // Before the surge most requests meet one node, every 400 ms another one.
+                const bool meetsOne = tick < 8000 && fleet.random()() % 10 < 8;
+                const std::size_t node =
+                        (meetsOne ? static_cast<std::size_t>(tick) / 400 : fleet.random()())
+                        % fleet.size();
+                if (const std::optional<TimePoint> time = fleet.request(node, now))
+                    admitted.insert(*time);
+            }
+            admitted.erase(admitted.begin(), admitted.lower_bound(now - Window));
+            REQUIRE(static_cast<double>(std::distance(admitted.begin(), admitted.upper_bound(now)))
+                    <= bound);
+        }
+    }
+}
+
 // Guards against the rounding of each node's part to a whole request, which gives a fleet of many
 // nodes more than the burst of a small organisation.
 TEST_CASE("A small organisation keeps to its rate at many nodes")
@@ -245,12 +277,26 @@
 TEST_CASE("A lower limit takes effect at once")
 {
     RateShares shares;
+    setSharers(shares, "0", {{"0", "east"}}, Start);
     setRate(shares, Organisation, 100.0, 100.0, Start);
     setRate(shares, Organisation, 10.0, 10.0, Start + 5s);
     int admitted = 0;
     for (int request = 0; request < 200; ++request)
         admitted += takeToken(shares, Organisation, Start + 5s) ? 1 : 0;
     CHECK(admitted <= 10);
+    CHECK(admitted > 0);
+}
+
+// Guards against nodes that take the whole rate for themselves while they start: after all nodes
+// were killed at once, each admitted the full rate until it had read who the others are.
+TEST_CASE("A node that does not know who shares the rates admits nothing")
+{
+    RateShares shares;
+    setRate(shares, Organisation, 100.0, 100.0, Start);
+    CHECK_FALSE(takeToken(shares, Organisation, Start + 1s));
+    setSharers(shares, "0", {{"0", "east"}, {"1", "west"}}, Start + 1s);
+    CHECK_FALSE(takeToken(shares, Organisation, Start + 1s));
+    CHECK(takeToken(shares, Organisation, Start + 2s));
 }
 
 // Guards against a limit on organisations that have none.
