Refuse callers when a stopping node has waited long enough for them to leave

Cause: a node that stops took callers' requests up to its end. Under steady load it was never idle, ran until 92 % of the grace period and then cut what it was serving. Change: from 2.6 s after the request to stop, callers get 503 with a time to come back; nested calls of runs that have begun are still taken. The node then ends as soon as these have ended. Ruled out: ending later (the platform kills the process at the end of the grace period).

--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t MostWaitingForTokens = 200;
 /** When callers return while the node has no policy yet. */
 constexpr Milliseconds NoPolicyRetryAfter{400};
+/** When callers that still use a node which is about to end come back, to another one. */
+constexpr Milliseconds StoppingRetryAfter{200};
 constexpr Milliseconds ShortestAllotmentRetryAfter{200};
 
 } // namespace
@@ -50,6 +52,11 @@
     if (patience >= 0)
         entry.m_deadline = std::min(entry.m_deadline, now + Milliseconds(patience));
     findParent(entry);
+    if (m_services.m_refusesCallers && !entry.m_nested) {
+        refuse(session, std::move(entry), Outcome::RefusedUnavailable, 503, "the node stops",
+               StoppingRetryAfter);
+        return;
+    }
     charge(session, std::move(entry));
 }
 
--- a/packages/relay/entry/entryservices.h
+++ b/packages/relay/entry/entryservices.h
@@ -33,6 +33,9 @@
     std::mt19937_64 &m_random;
     /** The process is being stopped: responses end their connections. */
     bool m_stopping = false;
+    /** The process is about to end: callers' requests would be cut off. Nested calls of runs that
+     * have begun are still taken. */
+    bool m_refusesCallers = false;
 };
 
 } // namespace chervilmount::relay
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -405,6 +405,7 @@
         m_mesh.updateSelf([](NodeRecord &record) { record.m_leaving = true; });
     const bool busy = m_gate.activeRuns() > 0 || m_callers.busySessions() > 0;
     const bool early = now - m_stopRequestedAt < m_settings.m_stop.m_shortest;
+    m_entryServices.m_refusesCallers = !early;
     if (now - m_stopRequestedAt < m_settings.m_stop.m_longest && (busy || early))
         return;
     m_stopped = true;
--- a/packages/relay/runtime/relaysettings.h
+++ b/packages/relay/runtime/relaysettings.h
@@ -41,7 +41,8 @@
 /** How long a node that is being stopped goes on. */
 struct StopSettings
 {
-    /** Shortest time, so that callers have noticed that the node is not ready. */
+    /** Shortest time, so that callers have noticed that the node is not ready. From then on those
+     * that still come are refused, so that what runs can end. */
     std::chrono::milliseconds m_shortest{2600};
     /** Time for which it goes on to take work for its backend server from other nodes, which would
      * be without that backend server all the longer otherwise. */
--- a/tests/platform/lifecycle_test.cpp
+++ b/tests/platform/lifecycle_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <list>
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -328,3 +330,35 @@
             },
             2s));
 }
+
+// Guards against a node that takes requests up to its end, is never idle under load, and cuts those
+// that run when its time is up.
+TEST_CASE("A node that stops under steady load cuts no request")
+{
+    Fleet fleet;
+    startTwo(fleet);
+    FleetNode &stopping = *fleet.m_nodes[0];
+    stopping.m_backend->m_serviceTime = 300ms;
+    fleet.m_nodes[1]->m_backend->m_serviceTime = 300ms;
+    std::list<std::optional<CallerResponse>> responses;
+    std::vector<std::shared_ptr<chervilmount::relay::HttpClientConnection>> connections;
+    stopping.m_node->stop();
+    while (!stopping.m_stopped && responses.size() < 200) {
+        responses.emplace_back();
+        connections.push_back(
+                fleet.send(stopping, {}, "a" + std::to_string(responses.size()), responses.back()));
+        fleet.runFor(50ms);
+    }
+    CHECK(stopping.m_stopped);
+    // The process ends; what still runs is cut off.
+    fleet.kill(stopping);
+    fleet.runFor(500ms);
+    int request = 0;
+    for (const std::optional<CallerResponse> &response : responses) {
+        const std::string attempt = "a" + std::to_string(++request);
+        const bool ran = stopping.m_backend->runs(attempt) > 0
+                || fleet.m_nodes[1]->m_backend->runs(attempt) > 0;
+        INFO(attempt);
+        CHECK((!ran || (response && response->m_status == 200)));
+    }
+}
