Give the platform tests ports apart from those of the end-to-end tests

The platform tests took ports from 22000 to 31999, the end-to-end tests begin at 20000. The ports of the two runs are not on record; that they met is concluded from the answer. Change: the platform tests take ports from 10000 to 19999. Ruled out: a late status check as the additional arrival (160 runs under load with the check counted: none).

--- a/tests/platform/standin/rowstore.cpp
+++ b/tests/platform/standin/rowstore.cpp
@@ -35,8 +35,9 @@
 
 std::string freeAddress(boost::asio::io_context &context)
 {
-    // Ports below those of outgoing connections; each test process begins elsewhere.
-    constexpr int FirstPort = 22000;
+    // Ports below those of outgoing connections and of the end-to-end tests, which begin at 20000;
+    // each test process begins elsewhere.
+    constexpr int FirstPort = 10000;
     constexpr int PortsPerProcess = 100;
     constexpr int Processes = 100;
     static int s_next = FirstPort + (::getpid() % Processes) * PortsPerProcess;
