Share the rendezvous hash and the lower-case letter

Cause: the rendezvous hash stood in three packages and the lower-case letter in three; PolicyIndex kept an index of organisations by name that only a test used, and the test and the comment of importance() said the opposite of what is in effect (docs/platform.md, section 6). Change: routing/rendezvous and model/index/lowercase serve all of them; the unused index goes, and the test finds organisations by their keys.

--- a/packages/model/index/routetable.cpp
+++ b/packages/model/index/routetable.cpp
@@ -1,5 +1,7 @@
 #include "model/index/routetable.h"
 
+#include "model/index/lowercase.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -70,12 +72,6 @@
     return isDotSegment();
 }
 
-char lowerCase(char character)
-{
-    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a')
-                                                : character;
-}
-
 } // namespace
 
 std::size_t StringHash::operator()(std::string_view text) const
--- a/packages/node/control/leasecandidates.cpp
+++ b/packages/node/control/leasecandidates.cpp
@@ -1,6 +1,6 @@
 #include "node/control/leasecandidates.h"
 
-#include <xxhash.h>
+#include "routing/rendezvous/rendezvous.h"
 
 #include <algorithm>
 #include <utility>
@@ -32,12 +32,8 @@
 Members bestFor(const std::string &lease, const Members &members)
 {
     std::vector<std::pair<std::uint64_t, const sharedstate::NodeReference *>> ranked;
-    const std::uint64_t seed = XXH3_64bits(lease.data(), lease.size());
-    for (const sharedstate::NodeReference &member : members) {
-        const std::uint64_t hash =
-                XXH3_64bits_withSeed(member.m_node.data(), member.m_node.size(), seed);
-        ranked.emplace_back(hash, &member);
-    }
+    for (const sharedstate::NodeReference &member : members)
+        ranked.emplace_back(routing::rendezvousWeight(lease, member.m_node), &member);
     const std::size_t count = std::min(CandidatesPerLease, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
                       ranked.end());
--- a/packages/routing/match/routematch.cpp
+++ b/packages/routing/match/routematch.cpp
@@ -1,5 +1,7 @@
 #include "routing/match/routematch.h"
 
+#include "model/index/lowercase.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -7,15 +9,10 @@
 
 namespace {
 
-char lowerCase(char letter)
-{
-    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-}
-
 bool sameHost(std::string_view left, std::string_view right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                      [](char a, char b) { return lowerCase(a) == lowerCase(b); });
+                      [](char a, char b) { return model::lowerCase(a) == model::lowerCase(b); });
 }
 
 bool prefixMatches(std::string_view prefix, std::string_view path)
--- a/packages/routing/routing.h
+++ b/packages/routing/routing.h
@@ -12,4 +12,5 @@
 #include "routing/link/linkbudget.h"
 #include "routing/match/routematch.h"
 #include "routing/outlier/outlier.h"
+#include "routing/rendezvous/rendezvous.h"
 #include "routing/subset/subset.h"
--- a/packages/routing/subset/subset.cpp
+++ b/packages/routing/subset/subset.cpp
@@ -1,9 +1,10 @@
 #include "routing/subset/subset.h"
 
+#include "routing/rendezvous/rendezvous.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
-#include <xxhash.h>
 
 namespace chervilmount::routing {
 
@@ -16,12 +17,6 @@
     const Member *m_member = nullptr;
 };
 
-std::uint64_t rendezvousWeight(std::string_view callerId, const Member &member)
-{
-    const std::uint64_t seed = XXH3_64bits(callerId.data(), callerId.size());
-    return XXH3_64bits_withSeed(member.m_nodeId.data(), member.m_nodeId.size(), seed);
-}
-
 std::array<std::size_t, Places> divide(const std::array<std::vector<Weighted>, Places> &groups,
                                        std::size_t size)
 {
@@ -49,7 +44,7 @@
     for (const Member &member : members) {
         if (!member.m_excluded)
             groups[static_cast<std::size_t>(member.m_place)].push_back(
-                    {rendezvousWeight(callerId, member), &member});
+                    {rendezvousWeight(callerId, member.m_nodeId), &member});
     }
     const std::array<std::size_t, Places> taken = divide(groups, size);
     std::vector<Member> subset;
--- a/packages/traffic/allotment/rateholders.cpp
+++ b/packages/traffic/allotment/rateholders.cpp
@@ -1,6 +1,6 @@
 #include "traffic/allotment/rateholders.h"
 
-#include <xxhash.h>
+#include "routing/rendezvous/rendezvous.h"
 
 #include <algorithm>
 #include <cmath>
@@ -16,13 +16,10 @@
                                            double leastTokens)
 {
     using Ranked = std::pair<std::uint64_t, const RateSharer *>;
-    const std::uint64_t seed = XXH3_64bits(organisation.data(), organisation.size());
     std::map<std::string, std::vector<Ranked>> regions;
-    for (const RateSharer &sharer : sharers) {
-        const std::uint64_t rank =
-                XXH3_64bits_withSeed(sharer.m_node.data(), sharer.m_node.size(), seed);
-        regions[sharer.m_region].emplace_back(rank, &sharer);
-    }
+    for (const RateSharer &sharer : sharers)
+        regions[sharer.m_region].emplace_back(
+                routing::rendezvousWeight(organisation, sharer.m_node), &sharer);
     const double part = std::min(1.0, burst / leastTokens / static_cast<double>(sharers.size()));
     std::vector<std::string> holders;
     for (auto &[region, ranked] : regions) {
--- a/packages/traffic/allotment/rateholders.h
+++ b/packages/traffic/allotment/rateholders.h
@@ -23,7 +23,7 @@
  * @param burst requests that may come at once.
  * @param leastTokens burst that each holder gets at least, in requests.
  * @returns the names of the holders.
- * @see Thaler, Ravishankar: Using name-based mappings to increase hit rates (1998)
+ * @see routing::rendezvousWeight()
  */
 std::vector<std::string> chooseRateHolders(std::span<const RateSharer> sharers,
                                            const std::string &organisation, double burst,
--- a/packages/traffic/policy/policyindex.cpp
+++ b/packages/traffic/policy/policyindex.cpp
@@ -1,5 +1,7 @@
 #include "traffic/policy/policyindex.h"
 
+#include "model/index/lowercase.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,10 +12,7 @@
 std::string lowerCaseHost(std::string_view host)
 {
     std::string name(host.substr(0, host.find(':')));
-    std::transform(name.begin(), name.end(), name.begin(), [](char character) {
-        return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a')
-                                                    : character;
-    });
+    std::transform(name.begin(), name.end(), name.begin(), model::lowerCase);
     return name;
 }
 
@@ -39,7 +38,6 @@
         });
     }
     for (const OrganisationPolicy &organisation : m_policy.m_organisations) {
-        m_organisationNames.emplace(organisation.m_name, &organisation);
         for (const std::string &key : organisation.m_keys)
             m_keys.emplace(key, &organisation);
     }
@@ -96,11 +94,6 @@
     return findIn(m_keys, key);
 }
 
-const OrganisationPolicy *PolicyIndex::organisationNamed(std::string_view name) const
-{
-    return findIn(m_organisationNames, name);
-}
-
 const ServicePolicy *PolicyIndex::serviceNamed(std::string_view name) const
 {
     return findIn(m_serviceNames, name);
--- a/packages/traffic/policy/policyindex.h
+++ b/packages/traffic/policy/policyindex.h
@@ -32,8 +32,8 @@
     const RoutePolicy *findRoute(std::string_view host, std::string_view target) const;
 
     /**
-     * Importance of a request, as a dense number over all pairs in use: the organisation's priority
-     * decides first, then the route's.
+     * Importance of a request, as a dense number over all pairs in use: the route's priority
+     * decides first, then the organisation's.
      * @param organisation nullptr for requests without a key.
      * @returns 0 for the most important requests.
      */
@@ -45,9 +45,6 @@
     /** @returns the organisation that holds the key, or nullptr. */
     const OrganisationPolicy *findKey(std::string_view key) const;
 
-    /** @returns the organisation of that name, or nullptr. */
-    const OrganisationPolicy *organisationNamed(std::string_view name) const;
-
     /** @returns the service of that name, or nullptr. */
     const ServicePolicy *serviceNamed(std::string_view name) const;
 
@@ -64,7 +61,6 @@
     model::StringMap<std::vector<const RoutePolicy *>> m_hosts;
     model::StringMap<const RoutePolicy *> m_routeNames;
     model::StringMap<const OrganisationPolicy *> m_keys;
-    model::StringMap<const OrganisationPolicy *> m_organisationNames;
     model::StringMap<const ServicePolicy *> m_serviceNames;
 };
 
--- a/tests/traffic/policy_test.cpp
+++ b/tests/traffic/policy_test.cpp
@@ -65,13 +65,13 @@
 }
 
 // Guards against orders that are shed before look-ups of the same organisation.
-TEST_CASE("The organisation's priority decides before the route's")
+TEST_CASE("The route's priority decides before the organisation's")
 {
     const PolicyIndex index(validPolicy());
     const RoutePolicy &lookup = *index.routeNamed("lookup");
     const RoutePolicy &order = *index.routeNamed("order");
-    const OrganisationPolicy &large = *index.organisationNamed("large");
-    const OrganisationPolicy &small = *index.organisationNamed("small");
+    const OrganisationPolicy &large = *index.findKey("key-1");
+    const OrganisationPolicy &small = *index.findKey("key-3");
     CHECK(index.importance(order, &large) < index.importance(lookup, &large));
     // An organisation without a priority of its own has that of the route.
     CHECK(index.importance(order, &small) < index.importance(order, &large));
