--- a/platform/jsonfields.cpp
+++ b/packages/model/json/fields.cpp
@@ -1,10 +1,10 @@
-#include "platform/jsonfields.h"
+#include "model/json/fields.h"
 
 #include <boost/json/value.hpp>
 
 #include <cmath>
 
-namespace chervilmount::platform {
+namespace chervilmount::model {
 
 namespace json = boost::json;
 
@@ -57,4 +57,4 @@
             std::chrono::duration<double>(*seconds));
 }
 
-} // namespace chervilmount::platform
+} // namespace chervilmount::model
--- a/platform/jsonfields.h
+++ b/packages/model/json/fields.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace chervilmount::platform {
+namespace chervilmount::model {
 
 /** @returns a whole number, also one written with a fraction of zero; nothing for other values. */
 std::optional<std::int64_t> integerOf(const boost::json::value &value);
@@ -22,4 +22,4 @@
                                                     std::string_view name);
 /** @} */
 
-} // namespace chervilmount::platform
+} // namespace chervilmount::model
--- a/packages/relay/control/backendwatch.cpp
+++ b/packages/relay/control/backendwatch.cpp
@@ -44,11 +44,11 @@
     if (named != nullptr && !m_isKnownService(named->m_service))
         message = MalformedAnnouncement{400, "unknown service"};
     if (const MalformedAnnouncement *malformed = std::get_if<MalformedAnnouncement>(&message)) {
-        if (m_log.allows(LogTopic::State, std::chrono::steady_clock::now()))
-            m_log.write(LogTopic::State, adapters::LogLevel::Warn,
-                        {{"event", "announcement-rejected"},
-                         {"target", std::string(request.target())},
-                         {"reason", malformed->m_reason}});
+        m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Warn,
+                             {{"event", "announcement-rejected"},
+                              {"target", std::string(request.target())},
+                              {"reason", malformed->m_reason}},
+                             std::chrono::steady_clock::now());
         session->respond(makeResponse(malformed->m_status, malformed->m_reason + "\n"), false);
         return;
     }
@@ -98,14 +98,15 @@
     if (effect == traffic::AnnouncementEffect::Ignored
         || effect == traffic::AnnouncementEffect::Renewed)
         return;
-    if (m_log.allows(LogTopic::State, std::chrono::steady_clock::now()))
-        m_log.write(LogTopic::State, adapters::LogLevel::Info,
-                    {{"event", "backend-server"},
-                     {"instance", id},
-                     {"effect", nameOf(effect)},
-                     {"sequence", std::to_string(m_instances.m_current->m_sequence)},
-                     {"started_at_ms", std::to_string(m_instances.m_current->m_startedAt.count())},
-                     {"slots", std::to_string(m_instances.m_current->m_slots)}});
+    m_log.writeIfAllowed(
+            LogTopic::State, adapters::LogLevel::Info,
+            {{"event", "backend-server"},
+             {"instance", id},
+             {"effect", nameOf(effect)},
+             {"sequence", std::to_string(m_instances.m_current->m_sequence)},
+             {"started_at_ms", std::to_string(m_instances.m_current->m_startedAt.count())},
+             {"slots", std::to_string(m_instances.m_current->m_slots)}},
+            std::chrono::steady_clock::now());
     if (effect == traffic::AnnouncementEffect::Changed) {
         m_gate.useInstance(*m_instances.m_current);
     } else {
--- a/packages/relay/control/loadexchange.cpp
+++ b/packages/relay/control/loadexchange.cpp
@@ -91,7 +91,7 @@
             continue;
         if (peer->m_record.m_usable && !peer->m_record.m_leaving)
             add(peer->m_record.m_service, peer->m_target.m_load);
-        if (peer->m_record.m_region != mesh.self().m_region)
+        if (!mesh.isInRegion(peer->m_record))
             traffic::addDemand(demand, peer->m_demand);
     }
     if (instances.m_usable)
@@ -102,7 +102,7 @@
 
 traffic::Demand LoadExchange::demandFor(const NodeRecord &receiver, const Mesh &mesh, TimePoint now)
 {
-    if (receiver.m_region == mesh.self().m_region)
+    if (mesh.isInRegion(receiver))
         return traffic::currentDemand(m_meter, now);
     return reportsForRegion(mesh, now) ? regionDemand(mesh, now) : traffic::Demand{};
 }
@@ -123,7 +123,7 @@
 {
     traffic::Demand sum = traffic::currentDemand(m_meter, now);
     for (const auto &[node, peer] : mesh.peers()) {
-        if (peer->m_record.m_region == mesh.self().m_region && mesh.isFresh(*peer, now))
+        if (mesh.isInRegion(peer->m_record) && mesh.isFresh(*peer, now))
             traffic::addDemand(sum, peer->m_demand);
     }
     return sum;
@@ -133,8 +133,8 @@
 {
     return std::none_of(mesh.peers().begin(), mesh.peers().end(), [&](const auto &entry) {
         const Peer &peer = *entry.second;
-        return peer.m_record.m_region == mesh.self().m_region && mesh.isFresh(peer, now)
-                && !peer.m_record.m_leaving && peer.m_record.m_node < mesh.self().m_node;
+        return mesh.isInRegion(peer.m_record) && mesh.isFresh(peer, now) && !peer.m_record.m_leaving
+                && peer.m_record.m_node < mesh.self().m_node;
     });
 }
 
--- a/packages/relay/control/noderegistry.cpp
+++ b/packages/relay/control/noderegistry.cpp
@@ -1,6 +1,7 @@
 #include "relay/control/noderegistry.h"
 
-#include <algorithm>
+#include "relay/timers/retrydelay.h"
+
 #include <utility>
 
 namespace chervilmount::relay {
@@ -77,10 +78,10 @@
 
 void NodeRegistry::mergeRow(const StoreRow &row)
 {
-    if (m_log.allows(LogTopic::State, std::chrono::steady_clock::now()))
-        m_log.write(LogTopic::State, adapters::LogLevel::Info,
-                    {{"event", m_knowsOwnRow ? "node-row-conflict" : "node-row-found"},
-                     {"version", std::to_string(row.m_version)}});
+    m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Info,
+                         {{"event", m_knowsOwnRow ? "node-row-conflict" : "node-row-found"},
+                          {"version", std::to_string(row.m_version)}},
+                         std::chrono::steady_clock::now());
     // Only processes of this node write the row: an earlier one, or an earlier write of this one
     // whose outcome was unknown.
     const std::optional<NodeRow> node = parseNodeRow(row);
@@ -111,9 +112,9 @@
 {
     const std::optional<NodeRow> node = parseNodeRow(row);
     if (!node) {
-        if (m_log.allows(LogTopic::State, std::chrono::steady_clock::now()))
-            m_log.write(LogTopic::State, adapters::LogLevel::Warn,
-                        {{"event", "node-row-unreadable"}, {"key", row.m_key}});
+        m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Warn,
+                             {{"event", "node-row-unreadable"}, {"key", row.m_key}},
+                             std::chrono::steady_clock::now());
         return;
     }
     if (node->m_record.m_node != m_mesh.self().m_node) {
@@ -124,11 +125,9 @@
 
 void NodeRegistry::retry(const std::function<void()> &action)
 {
-    const Milliseconds longest =
-            std::min(LongestRetryDelay, FirstRetryDelay * (1 << std::min(m_failures, 5)));
+    const Milliseconds delay = retryDelay(FirstRetryDelay, LongestRetryDelay, m_failures, m_random);
     ++m_failures;
-    std::uniform_int_distribution<std::int64_t> spread(longest.count() / 2, longest.count());
-    m_timers.add(std::chrono::steady_clock::now() + Milliseconds(spread(m_random)), action);
+    m_timers.add(std::chrono::steady_clock::now() + delay, action);
 }
 
 } // namespace chervilmount::relay
--- a/packages/relay/control/policykeeper.cpp
+++ b/packages/relay/control/policykeeper.cpp
@@ -21,22 +21,22 @@
         m_current = std::make_shared<const traffic::PolicyIndex>(m_parser(document.m_document));
     } catch (const model::FindingsError &error) {
         m_rejected = document.m_version;
-        if (m_log.allows(LogTopic::State, now))
-            m_log.write(LogTopic::State, adapters::LogLevel::Error,
-                        {{"event", "policy-rejected"},
-                         {"version", std::to_string(document.m_version)},
-                         {"in_force", std::to_string(m_document.m_version)},
-                         {"findings", error.what()}});
+        m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Error,
+                             {{"event", "policy-rejected"},
+                              {"version", std::to_string(document.m_version)},
+                              {"in_force", std::to_string(m_document.m_version)},
+                              {"findings", error.what()}},
+                             now);
         return;
     }
     const std::uint64_t before = m_document.m_version;
     m_document = document;
-    if (m_log.allows(LogTopic::State, now))
-        m_log.write(LogTopic::State, adapters::LogLevel::Info,
-                    {{"event", "policy-in-force"},
-                     {"version", std::to_string(document.m_version)},
-                     {"before", std::to_string(before)},
-                     {"source", source}});
+    m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Info,
+                         {{"event", "policy-in-force"},
+                          {"version", std::to_string(document.m_version)},
+                          {"before", std::to_string(before)},
+                          {"source", source}},
+                         now);
     if (m_onChanged)
         m_onChanged();
 }
--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -1,5 +1,7 @@
 #include "relay/entry/entrycall.h"
 
+#include "adapters/http/httpmessage.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -129,7 +131,7 @@
         for (const std::string *name :
              {&names.m_attempt, &names.m_deadline, &names.m_key, &names.m_callerService,
               &names.m_organisation, &names.m_expectedInstance}) {
-            if (boost::beast::iequals(field.m_name, *name))
+            if (adapters::equalNames(field.m_name, *name))
                 return true;
         }
         return false;
@@ -212,11 +214,12 @@
         return false;
     if (!failure.m_arrived)
         return true;
+    const bool important = m_entry.m_priority == 0;
     if (m_arrivals >= m_entry.m_route->m_maximumAttempts
-        || !traffic::takeRepeat(
-                m_services.m_repeats, m_entry.m_service, m_entry.m_priority == 0,
-                m_services.m_loads.nestedRunsOf(*m_entry.m_policy, *m_entry.m_route)))
+        || !traffic::hasRepeat(m_services.m_repeats, m_entry.m_service, important))
         return false;
+    traffic::takeRepeat(m_services.m_repeats, m_entry.m_service, important,
+                        m_services.m_loads.nestedRunsOf(*m_entry.m_policy, *m_entry.m_route));
     ++m_services.m_counters.m_repeats;
     return true;
 }
@@ -235,14 +238,8 @@
 
 void EntryCall::abandoned()
 {
-    if (m_finished)
-        return;
-    m_finished = true;
-    m_services.m_timers.cancel(m_deadlineTimer);
-    cancelAttempt();
-    const TimePoint now = std::chrono::steady_clock::now();
-    ++m_services.m_counters.m_outcomes[static_cast<std::size_t>(Outcome::Abandoned)];
-    log(Outcome::Abandoned, 0, "the caller left", now);
+    if (end(Outcome::Abandoned))
+        log(Outcome::Abandoned, 0, "the caller left", std::chrono::steady_clock::now());
 }
 
 void EntryCall::cancelAttempt()
@@ -256,13 +253,21 @@
         m_services.m_mesh.cancel(running.m_node, running.m_number);
 }
 
-void EntryCall::finish(Outcome outcome, HttpResponse response, const std::string &reason)
+bool EntryCall::end(Outcome outcome)
 {
     if (m_finished)
-        return;
+        return false;
     m_finished = true;
     m_services.m_timers.cancel(m_deadlineTimer);
     cancelAttempt();
+    ++m_services.m_counters.m_outcomes[static_cast<std::size_t>(outcome)];
+    return true;
+}
+
+void EntryCall::finish(Outcome outcome, HttpResponse response, const std::string &reason)
+{
+    if (!end(outcome))
+        return;
     const TimePoint now = std::chrono::steady_clock::now();
     if (m_entry.m_charged && !m_mayHaveRun && outcome != Outcome::Served
         && outcome != Outcome::ServerFailure)
@@ -270,7 +275,6 @@
     const HeaderNames &names = m_services.m_settings.m_headers;
     if (!m_entry.m_attempt.empty() && fieldValue(response, names.m_attempt).empty())
         response.set(names.m_attempt, m_entry.m_attempt);
-    ++m_services.m_counters.m_outcomes[static_cast<std::size_t>(outcome)];
     if (m_entry.m_route != nullptr)
         m_services.m_counters.m_latencies[m_entry.m_route->m_name].record(now
                                                                           - m_entry.m_arrivedAt);
--- a/packages/relay/entry/entrycall.h
+++ b/packages/relay/entry/entrycall.h
@@ -66,6 +66,8 @@
     void timedOut();
     void abandoned();
     void cancelAttempt();
+    /** Ends the timers and the attempt and counts the outcome. @returns false if it had ended. */
+    bool end(Outcome outcome);
     void finish(Outcome outcome, HttpResponse response, const std::string &reason);
     void log(Outcome outcome, int status, const std::string &reason, TimePoint now);
     /** @returns the part of the target latency for which the request may wait for a slot. */
--- a/packages/relay/http/backendpool.cpp
+++ b/packages/relay/http/backendpool.cpp
@@ -1,6 +1,7 @@
 #include "relay/http/backendpool.h"
 
 #include "relay/http/socketoptions.h"
+#include "relay/http/timedexchange.h"
 
 #include <utility>
 
@@ -39,19 +40,10 @@
     ++m_connectionsMade;
     auto connection = std::make_shared<HttpClientConnection>(m_context, m_idField,
                                                              m_settings.m_responseBytes);
-    auto shared = std::make_shared<ConnectionCallback>(std::move(callback));
-    const TimerId timer = m_timers.add(now + m_settings.m_connectTimeout, [connection, shared] {
-        const ConnectionCallback late = std::exchange(*shared, nullptr);
-        connection->close();
-        if (late)
-            late(nullptr);
-    });
-    connection->connect(m_endpoint, [this, connection, shared, timer](bool connected) {
-        m_timers.cancel(timer);
-        const ConnectionCallback ready = std::exchange(*shared, nullptr);
-        if (ready)
-            ready(connected ? connection : nullptr);
-    });
+    connectUntil(m_timers, now + m_settings.m_connectTimeout, connection, m_endpoint,
+                 [connection, callback = std::move(callback)](bool connected) {
+                     callback(connected ? connection : nullptr);
+                 });
 }
 
 void BackendPool::release(std::shared_ptr<HttpClientConnection> connection)
--- a/packages/relay/http/httpmessage.cpp
+++ b/packages/relay/http/httpmessage.cpp
@@ -1,6 +1,6 @@
 #include "relay/http/httpmessage.h"
 
-#include <boost/beast/core/string.hpp>
+#include "adapters/http/httpmessage.h"
 
 #include <algorithm>
 #include <array>
@@ -11,6 +11,9 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+/** @returns whether a header field concerns only one connection and is not passed on. */
 bool isConnectionField(std::string_view name)
 {
     constexpr std::array<std::string_view, 10> Names{"Connection",
@@ -24,10 +27,12 @@
                                                      "Upgrade",
                                                      "Content-Length"};
     return std::any_of(Names.begin(), Names.end(), [name](std::string_view other) {
-        return boost::beast::iequals({name.data(), name.size()}, {other.data(), other.size()});
+        return adapters::equalNames(name, other);
     });
 }
 
+} // namespace
+
 std::vector<HeaderField> endToEndFields(const http::fields &fields)
 {
     std::vector<HeaderField> result;
--- a/packages/relay/http/httpmessage.h
+++ b/packages/relay/http/httpmessage.h
@@ -15,9 +15,6 @@
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-/** @returns whether a header field concerns only one connection and is not passed on. */
-bool isConnectionField(std::string_view name);
-
 /** Copies the fields that are passed on. */
 std::vector<HeaderField> endToEndFields(const boost::beast::http::fields &fields);
 
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -1,5 +1,7 @@
 #include "relay/inbound/localgate.h"
 
+#include "relay/http/timedexchange.h"
+
 #include <algorithm>
 #include <cstdlib>
 #include <utility>
@@ -198,35 +200,23 @@
                 request.method(http::verb::get);
                 request.target({healthPath.data(), healthPath.size()});
                 request.set(http::field::host, m_settings.m_backendAddress);
-                auto done = std::make_shared<bool>(false);
-                const TimerId timer =
-                        m_timers.add(std::chrono::steady_clock::now() + StatusCheckTimeout,
-                                     [connection, done, callback] {
-                                         if (std::exchange(*done, true))
-                                             return;
-                                         connection->close();
-                                         callback(std::nullopt);
-                                     });
-                connection->exchange(
-                        std::move(request), {},
-                        [this, connection, callback, done, timer](const ExchangeResult &result) {
-                            m_timers.cancel(timer);
-                            if (std::exchange(*done, true))
-                                return;
-                            m_pool.release(connection);
-                            traffic::InstanceAnnouncement instance;
-                            instance.m_id =
-                                    fieldValue(result.m_response, m_settings.m_headers.m_instance);
-                            instance.m_slots = slotsOf(
-                                    fieldValue(result.m_response, m_settings.m_headers.m_load));
-                            instance.m_service = m_settings.m_service;
-                            instance.m_address = m_settings.m_backendAddress;
-                            const bool usable = result.m_status == ExchangeStatus::Answered
-                                    && result.m_response.result() == http::status::ok
-                                    && !instance.m_id.empty() && instance.m_slots > 0;
-                            callback(usable ? std::make_optional(std::move(instance))
-                                            : std::nullopt);
-                        });
+                exchangeUntil(m_timers, std::chrono::steady_clock::now() + StatusCheckTimeout,
+                              connection, std::move(request), {},
+                              [this, connection, callback](const ExchangeResult &result) {
+                                  m_pool.release(connection);
+                                  traffic::InstanceAnnouncement instance;
+                                  instance.m_id = fieldValue(result.m_response,
+                                                             m_settings.m_headers.m_instance);
+                                  instance.m_slots = slotsOf(fieldValue(
+                                          result.m_response, m_settings.m_headers.m_load));
+                                  instance.m_service = m_settings.m_service;
+                                  instance.m_address = m_settings.m_backendAddress;
+                                  const bool usable = result.m_status == ExchangeStatus::Answered
+                                          && result.m_response.result() == http::status::ok
+                                          && !instance.m_id.empty() && instance.m_slots > 0;
+                                  callback(usable ? std::make_optional(std::move(instance))
+                                                  : std::nullopt);
+                              });
             });
 }
 
--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -173,7 +173,7 @@
     for (const std::string &node : nodes) {
         Peer *peer = find(node);
         if (peer != nullptr && isFresh(*peer, now))
-            (peer->m_record.m_region == m_self.m_region ? near : far).push_back(peer);
+            (isInRegion(peer->m_record) ? near : far).push_back(peer);
     }
     // Nodes of the other region are asked rarely, for the sake of the link.
     constexpr std::uint64_t FarOneIn = 8;
@@ -423,7 +423,7 @@
 
 std::chrono::milliseconds Mesh::statusInterval(const NodeRecord &other) const
 {
-    return other.m_region == m_self.m_region ? RegionStatusInterval : OtherRegionStatusInterval;
+    return isInRegion(other) ? RegionStatusInterval : OtherRegionStatusInterval;
 }
 
 Peer *Mesh::find(const std::string &node)
@@ -437,7 +437,7 @@
     peer.m_target.m_node = peer.m_record.m_node;
     if (peer.m_record.m_failureDomain == m_self.m_failureDomain)
         peer.m_target.m_place = routing::Place::SameFailureDomain;
-    else if (peer.m_record.m_region == m_self.m_region)
+    else if (isInRegion(peer.m_record))
         peer.m_target.m_place = routing::Place::SameRegion;
     else
         peer.m_target.m_place = routing::Place::OtherRegion;
--- a/packages/relay/link/mesh.h
+++ b/packages/relay/link/mesh.h
@@ -120,6 +120,8 @@
     void requestTokens(const TokenRequest &request, const std::vector<std::string> &nodes,
                        std::uint64_t draw);
 
+    /** @returns whether the node is in this node's region. */
+    bool isInRegion(const NodeRecord &record) const { return record.m_region == m_self.m_region; }
     /** @returns whether the node has been heard lately. */
     bool isFresh(const Peer &peer, TimePoint now) const;
 
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -109,9 +109,8 @@
         m_registry.setDeparted(traffic::departures(m_backend.instances()));
         m_gate.restoreProfile(row.m_profile);
     };
-    m_store.m_onReachable = [this](bool reachable) {
-        m_reachesStore = reachable;
-        logState(reachable ? "store-reachable" : "store-lost", {});
+    m_store.m_onReachable = [this] {
+        logState(m_store.m_reachable ? "store-reachable" : "store-lost", {});
     };
     m_store.followPolicy(
             [this](const PolicyDocument &document) { m_policy.offer(document, "store"); });
@@ -192,7 +191,7 @@
         Status status;
         status.m_load = m_gate.load();
         status.m_policyVersion = m_policy.version();
-        status.m_reachesStore = m_reachesStore;
+        status.m_reachesStore = m_store.m_reachable;
         status.m_demand = m_loads.demandFor(receiver, m_mesh, std::chrono::steady_clock::now());
         if (withProfile)
             status.m_profile = m_gate.profile();
@@ -281,7 +280,7 @@
             return;
         requestPolicy(node, version);
         // The own call for changes would have delivered the version by now.
-        if (m_followsPolicy && m_reachesStore)
+        if (m_followsPolicy && m_store.m_reachable)
             m_store.restartFollowing();
     });
 }
@@ -296,8 +295,7 @@
 bool RelayNode::isInRegion(const std::string &node) const
 {
     const auto peer = m_mesh.peers().find(node);
-    return peer != m_mesh.peers().end()
-            && peer->second->m_record.m_region == m_mesh.self().m_region;
+    return peer != m_mesh.peers().end() && m_mesh.isInRegion(peer->second->m_record);
 }
 
 void RelayNode::backendChanged()
@@ -318,6 +316,8 @@
     m_mesh.tick(now);
     if (m_mesh.linkedPeers() > 0)
         m_linkedAt = now;
+    else
+        m_linkedSince = now;
     m_loads.update(m_mesh, m_backend.instances(), now);
     recordProfile(now);
     updateSharers(now);
@@ -347,8 +347,6 @@
 
 void RelayNode::updateSharers(TimePoint now)
 {
-    if (m_mesh.linkedPeers() == 0)
-        m_linkedSince = now;
     // Without the table the other nodes are known only by the links that they make.
     if (!m_registry.hasRead() && now - m_linkedSince < OthersLinkWithin)
         return;
@@ -368,19 +366,19 @@
 {
     std::vector<traffic::FollowerCandidate> others;
     for (const auto &[node, peer] : m_mesh.peers()) {
-        if (peer->m_record.m_region == m_mesh.self().m_region)
+        if (m_mesh.isInRegion(peer->m_record))
             others.push_back({node, m_mesh.isFresh(*peer, now) && !peer->m_record.m_leaving,
                               peer->m_reachesStore});
     }
     const bool follows =
-            traffic::shouldFollowPolicy({m_mesh.self().m_node, true, m_reachesStore}, others);
+            traffic::shouldFollowPolicy({m_mesh.self().m_node, true, m_store.m_reachable}, others);
     if (follows == m_followsPolicy)
         return;
     m_followsPolicy = follows;
     m_store.setFollowing(follows);
     logState(follows ? "policy-following" : "policy-not-following",
              {{"candidates", std::to_string(others.size())},
-              {"reaches_store", m_reachesStore ? "true" : "false"}});
+              {"reaches_store", m_store.m_reachable ? "true" : "false"}});
 }
 
 void RelayNode::recordProfile(TimePoint now)
@@ -450,10 +448,9 @@
 
 void RelayNode::logState(const std::string &event, std::vector<adapters::LogField> fields)
 {
-    if (!m_log.allows(LogTopic::State, std::chrono::steady_clock::now()))
-        return;
     fields.insert(fields.begin(), {"event", event});
-    m_log.write(LogTopic::State, adapters::LogLevel::Info, fields);
+    m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Info, fields,
+                         std::chrono::steady_clock::now());
 }
 
 } // namespace chervilmount::relay
--- a/packages/relay/runtime/relaynode.h
+++ b/packages/relay/runtime/relaynode.h
@@ -114,7 +114,6 @@
     std::chrono::steady_clock::time_point m_requestedPolicyUntil;
     /** Since when there has been a link to another node without a gap. */
     std::chrono::steady_clock::time_point m_linkedSince;
-    bool m_reachesStore = true;
     bool m_followsPolicy = true;
     TimePoint m_linkedAt;
     TimePoint m_stopRequestedAt;
--- a/packages/relay/store/noderow.cpp
+++ b/packages/relay/store/noderow.cpp
@@ -1,5 +1,7 @@
 #include "relay/store/noderow.h"
 
+#include "model/json/fields.h"
+
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -11,12 +13,7 @@
 
 namespace {
 
-const json::string *textOf(const json::object &object, const char *name)
-{
-    const json::value *value = object.if_contains(name);
-    return value == nullptr ? nullptr : value->if_string();
-}
-
+/** Unlike model::integerOf() this takes no number with a fraction: nodes write none. */
 std::optional<std::int64_t> integerOf(const json::object &object, const char *name)
 {
     const json::value *value = object.if_contains(name);
@@ -30,19 +27,11 @@
     const json::object *object = value.if_object();
     if (object == nullptr)
         return std::nullopt;
-    const json::string *id = textOf(*object, "id");
+    const std::optional<std::string> id = model::textOf(*object, "id");
     const std::optional<std::int64_t> startedAt = integerOf(*object, "startedAtMilliseconds");
-    if (id == nullptr || !startedAt)
-        return std::nullopt;
-    return traffic::DepartedInstance{std::string(*id), std::chrono::milliseconds(*startedAt)};
-}
-
-std::optional<double> numberOf(const json::object &object, const char *name)
-{
-    const json::value *value = object.if_contains(name);
-    if (value == nullptr || !value->is_number())
+    if (!id || !startedAt)
         return std::nullopt;
-    return value->to_number<double>();
+    return traffic::DepartedInstance{*id, std::chrono::milliseconds(*startedAt)};
 }
 
 json::object toJson(const traffic::CallProfile &profile)
@@ -67,8 +56,8 @@
         const json::value *calls = route == nullptr ? nullptr : route->if_contains("calls");
         if (calls == nullptr || !calls->is_object())
             continue;
-        const std::optional<double> runs = numberOf(*route, "runs");
-        const std::optional<double> activeSeconds = numberOf(*route, "activeSeconds");
+        const std::optional<double> runs = model::numberOf(*route, "runs");
+        const std::optional<double> activeSeconds = model::numberOf(*route, "activeSeconds");
         if (!runs || !activeSeconds)
             continue;
         traffic::RouteProfile &observed = profile[std::string(entry.key())];
@@ -106,17 +95,17 @@
     const json::object *object = error ? nullptr : value.if_object();
     if (object == nullptr)
         return std::nullopt;
-    const json::string *address = textOf(*object, "address");
-    const json::string *domain = textOf(*object, "failureDomain");
-    const json::string *region = textOf(*object, "region");
+    const std::optional<std::string> address = model::textOf(*object, "address");
+    const std::optional<std::string> domain = model::textOf(*object, "failureDomain");
+    const std::optional<std::string> region = model::textOf(*object, "region");
     const std::optional<std::int64_t> startedAt = integerOf(*object, "startedAtMilliseconds");
-    if (address == nullptr || domain == nullptr || region == nullptr || !startedAt)
+    if (!address || !domain || !region || !startedAt)
         return std::nullopt;
     NodeRow result;
     result.m_record.m_node = row.m_key;
-    result.m_record.m_address = std::string(*address);
-    result.m_record.m_failureDomain = std::string(*domain);
-    result.m_record.m_region = std::string(*region);
+    result.m_record.m_address = *address;
+    result.m_record.m_failureDomain = *domain;
+    result.m_record.m_region = *region;
     result.m_record.m_startedAt = std::chrono::milliseconds(*startedAt);
     if (const json::value *departed = object->if_contains("departed");
         departed != nullptr && departed->is_array()) {
--- a/packages/relay/store/sharedstore.h
+++ b/packages/relay/store/sharedstore.h
@@ -70,8 +70,10 @@
      * changes has silently lost its connection. */
     virtual void restartFollowing() = 0;
 
-    /** Called with false when the store cannot be reached any more, with true when it can again. */
-    std::function<void(bool)> m_onReachable;
+    /** The last calls were answered. */
+    bool m_reachable = true;
+    /** Called when m_reachable has changed. */
+    std::function<void()> m_onReachable;
 
     /** Calls made so far, and those that failed. @{ */
     std::uint64_t m_calls = 0;
--- a/packages/relay/telemetry/boundedlog.cpp
+++ b/packages/relay/telemetry/boundedlog.cpp
@@ -42,6 +42,13 @@
     return true;
 }
 
+void BoundedLog::writeIfAllowed(LogTopic topic, adapters::LogLevel level,
+                                const std::vector<adapters::LogField> &fields, TimePoint now)
+{
+    if (allows(topic, now))
+        write(topic, level, fields);
+}
+
 void BoundedLog::write(LogTopic topic, adapters::LogLevel level,
                        const std::vector<adapters::LogField> &fields)
 {
--- a/packages/relay/telemetry/boundedlog.h
+++ b/packages/relay/telemetry/boundedlog.h
@@ -34,6 +34,10 @@
     /** @returns whether a line of the topic may be written now; takes it from the bound. */
     bool allows(LogTopic topic, TimePoint now);
 
+    /** Writes a line if its topic allows one now; for lines whose fields cost little. */
+    void writeIfAllowed(LogTopic topic, adapters::LogLevel level,
+                        const std::vector<adapters::LogField> &fields, TimePoint now);
+
     /** Writes a line that allows() has allowed. */
     void write(LogTopic topic, adapters::LogLevel level,
                const std::vector<adapters::LogField> &fields);
--- a/packages/traffic/retry/repeatbudget.cpp
+++ b/packages/traffic/retry/repeatbudget.cpp
@@ -19,11 +19,16 @@
     tokens = std::min(tokens + budget.m_settings.m_ratio, budget.m_settings.m_maximum);
 }
 
+bool hasRepeat(RepeatBudget &budget, const std::string &service, bool important)
+{
+    const double needed = important ? 1.0 : 1.0 + budget.m_settings.m_keptForImportant;
+    return tokensOf(budget, service) >= needed;
+}
+
 bool takeRepeat(RepeatBudget &budget, const std::string &service, bool important,
                 const NestedRuns &nestedRuns)
 {
-    const double needed = important ? 1.0 : 1.0 + budget.m_settings.m_keptForImportant;
-    if (tokensOf(budget, service) < needed)
+    if (!hasRepeat(budget, service, important))
         return false;
     tokensOf(budget, service) -= 1.0;
     for (const auto &[nested, runs] : nestedRuns) {
--- a/packages/traffic/retry/repeatbudget.h
+++ b/packages/traffic/retry/repeatbudget.h
@@ -33,6 +33,9 @@
 /** Runs that a repeat makes at other services by its nested calls. */
 using NestedRuns = std::unordered_map<std::string, double>;
 
+/** @returns whether the budget has a repeat for the request. */
+bool hasRepeat(RepeatBudget &budget, const std::string &service, bool important);
+
 /**
  * Takes one repeat. The nested calls that it makes are charged to the services that they go to,
  * since they reach these a second time.
--- a/packages/traffic/treeadmission/demand.cpp
+++ b/packages/traffic/treeadmission/demand.cpp
@@ -12,6 +12,9 @@
 
 void age(DemandMeter &meter, std::chrono::steady_clock::time_point now)
 {
+    // A request is counted at each service that it needs, all at the same time.
+    if (now == meter.m_updatedAt)
+        return;
     const double elapsed =
             std::max(0.0, std::chrono::duration<double>(now - meter.m_updatedAt).count());
     meter.m_updatedAt = now;
--- a/tests/platform/lifecycle_test.cpp
+++ b/tests/platform/lifecycle_test.cpp
@@ -23,6 +23,19 @@
     REQUIRE(fleet.settle());
 }
 
+/** Seven nodes, ready, of which some follow the policy for the others. */
+void startSeven(Fleet &fleet)
+{
+    for (int node = 0; node < 7; ++node)
+        fleet.addNode("n" + std::to_string(node), "slipdesk");
+    fleet.configure(1);
+    REQUIRE(fleet.settle());
+    fleet.runFor(500ms);
+    // The calls that wait since the start are answered by the first change.
+    fleet.configure(2);
+    fleet.runFor(600ms);
+}
+
 } // namespace
 
 // Guards against work for a backend server after its leaving was acknowledged.
@@ -285,14 +298,7 @@
 TEST_CASE("Nodes that do not follow the policy themselves get new versions from those that do")
 {
     Fleet fleet;
-    for (int node = 0; node < 7; ++node)
-        fleet.addNode("n" + std::to_string(node), "slipdesk");
-    fleet.configure(1);
-    REQUIRE(fleet.settle());
-    fleet.runFor(500ms);
-    // The calls that wait since the start are answered by the first change.
-    fleet.configure(2);
-    fleet.runFor(600ms);
+    startSeven(fleet);
     const int before = fleet.m_store.m_calls["/rows-feed"];
     fleet.configure(3);
     CHECK(fleet.runUntil(
@@ -312,13 +318,7 @@
 TEST_CASE("Followers of the policy that are killed are replaced in time")
 {
     Fleet fleet;
-    for (int node = 0; node < 7; ++node)
-        fleet.addNode("n" + std::to_string(node), "slipdesk");
-    fleet.configure(1);
-    REQUIRE(fleet.settle());
-    fleet.runFor(500ms);
-    fleet.configure(2);
-    fleet.runFor(600ms);
+    startSeven(fleet);
     // Three of seven follow; whichever they are, few of the other four are left.
     for (int node = 0; node < 5; ++node)
         fleet.kill(*fleet.m_nodes[static_cast<std::size_t>(node)]);
--- a/tests/traffic/rateshare_test.cpp
+++ b/tests/traffic/rateshare_test.cpp
@@ -27,6 +27,50 @@
 constexpr double BurstTolerance = 0.7 * AllowedSlack;
 /** @} */
 
+/** Length of the users' window. */
+constexpr std::chrono::milliseconds Window = 5s;
+
+/** @returns how many requests the users allow in a window. */
+double allowedInWindow(double rate, double burst)
+{
+    return (burst + rate * std::chrono::duration<double>(Window).count()) * (1.0 + AllowedOverage)
+            + AllowedSlack;
+}
+
+/** The admitted requests of the last window. */
+class AdmittedRequests
+{
+public:
+    void add(const std::optional<TimePoint> &time)
+    {
+        if (time)
+            m_times.insert(*time);
+    }
+
+    /** @returns how many there are in the window that ends now. */
+    double count(TimePoint now)
+    {
+        m_times.erase(m_times.begin(), m_times.lower_bound(now - Window));
+        return static_cast<double>(std::distance(m_times.begin(), m_times.upper_bound(now)));
+    }
+
+private:
+    std::multiset<TimePoint> m_times;
+};
+
+/** Counts refusals below the rate. */
+struct Refusals
+{
+    int m_requests = 0;
+    int m_refused = 0;
+
+    void add(bool admitted)
+    {
+        ++m_requests;
+        m_refused += admitted ? 0 : 1;
+    }
+};
+
 /** Nodes that pass each other tokens over links that lose some messages. */
 class Fleet
 {
@@ -110,10 +154,9 @@
 {
     constexpr double Rate = 40.0;
     constexpr double Burst = 40.0;
-    constexpr std::chrono::milliseconds Window = 5s;
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
         Fleet fleet(16, Rate, Burst, 0.2, seed);
-        std::multiset<TimePoint> admitted;
+        AdmittedRequests admitted;
         for (int tick = 0; tick < 20000; ++tick) {
             const TimePoint now = Start + tick * 1ms;
             // Half of the demand meets one node; in all five times the rate.
@@ -121,17 +164,11 @@
                 const std::size_t node = fleet.random()() % 2 == 0
                         ? seed % fleet.size()
                         : fleet.random()() % fleet.size();
-                if (const std::optional<TimePoint> time = fleet.request(node, now))
-                    admitted.insert(*time);
+                admitted.add(fleet.request(node, now));
             }
             if (fleet.random()() % 500 == 0)
                 fleet.restart(fleet.random()() % fleet.size(), Rate, Burst, now);
-            admitted.erase(admitted.begin(), admitted.lower_bound(now - Window));
-            const double bound = (Burst + Rate * std::chrono::duration<double>(Window).count())
-                            * (1.0 + AllowedOverage)
-                    + AllowedSlack;
-            REQUIRE(static_cast<double>(std::distance(admitted.begin(), admitted.upper_bound(now)))
-                    <= bound);
+            REQUIRE(admitted.count(now) <= allowedInWindow(Rate, Burst));
         }
     }
 }
@@ -140,8 +177,7 @@
 TEST_CASE("Uneven demand below the rate is hardly refused")
 {
     Fleet fleet(16, 40.0, 40.0, 0.0, 7);
-    int refused = 0;
-    int requests = 0;
+    Refusals refusals;
     std::poisson_distribution<int> arrivals(0.025); // 25 requests a second
     for (int tick = 0; tick < 60000; ++tick) {
         const TimePoint now = Start + tick * 1ms;
@@ -154,12 +190,11 @@
             // The first seconds fill the buckets.
             if (tick < 5000)
                 continue;
-            ++requests;
-            refused += admitted ? 0 : 1;
+            refusals.add(admitted);
         }
     }
-    INFO(refused << " of " << requests);
-    CHECK(refused * 100 <= requests);
+    INFO(refusals.m_refused << " of " << refusals.m_requests);
+    CHECK(refusals.m_refused * 100 <= refusals.m_requests);
 }
 
 // Guards against tokens that nodes have asked for ahead of need and keep beside the burst, until an
@@ -168,13 +203,9 @@
 {
     constexpr double Rate = 320.0;
     constexpr double Burst = 320.0;
-    constexpr std::chrono::milliseconds Window = 5s;
-    const double bound =
-            (Burst + Rate * std::chrono::duration<double>(Window).count()) * (1.0 + AllowedOverage)
-            + AllowedSlack;
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         Fleet fleet(16, Rate, Burst, 0.0, seed);
-        std::multiset<TimePoint> admitted;
+        AdmittedRequests admitted;
         for (int tick = 0; tick < 16000; ++tick) {
             const TimePoint now = Start + tick * 1ms;
             std::poisson_distribution<int> arrivals((tick < 8000 ? 0.62 : 4.0) * Rate / 1000.0);
@@ -184,12 +215,9 @@
                 const std::size_t node =
                         (meetsOne ? static_cast<std::size_t>(tick) / 400 : fleet.random()())
                         % fleet.size();
-                if (const std::optional<TimePoint> time = fleet.request(node, now))
-                    admitted.insert(*time);
+                admitted.add(fleet.request(node, now));
             }
-            admitted.erase(admitted.begin(), admitted.lower_bound(now - Window));
-            REQUIRE(static_cast<double>(std::distance(admitted.begin(), admitted.upper_bound(now)))
-                    <= bound);
+            REQUIRE(admitted.count(now) <= allowedInWindow(Rate, Burst));
         }
     }
 }
@@ -200,23 +228,16 @@
 {
     constexpr double Rate = 3.0;
     constexpr double Burst = 3.0;
-    constexpr std::chrono::milliseconds Window = 5s;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
         Fleet fleet(85, Rate, Burst, 0.1, seed);
-        std::multiset<TimePoint> admitted;
+        AdmittedRequests admitted;
         for (int tick = 0; tick < 20000; ++tick) {
             const TimePoint now = Start + tick * 1ms;
             if (tick % 20 == 0) {
                 const std::size_t node = fleet.random()() % fleet.size();
-                if (const std::optional<TimePoint> time = fleet.request(node, now))
-                    admitted.insert(*time);
+                admitted.add(fleet.request(node, now));
             }
-            admitted.erase(admitted.begin(), admitted.lower_bound(now - Window));
-            const double bound = (Burst + Rate * std::chrono::duration<double>(Window).count())
-                            * (1.0 + AllowedOverage)
-                    + AllowedSlack;
-            REQUIRE(static_cast<double>(std::distance(admitted.begin(), admitted.upper_bound(now)))
-                    <= bound);
+            REQUIRE(admitted.count(now) <= allowedInWindow(Rate, Burst));
         }
     }
 }
@@ -227,8 +248,7 @@
 {
     constexpr double Rate = 5.0;
     Fleet fleet(85, Rate, Rate, 0.0, 11);
-    int refused = 0;
-    int requests = 0;
+    Refusals refusals;
     std::poisson_distribution<int> arrivals(Rate / 1.6 / 1000.0);
     for (int tick = 0; tick < 300000; ++tick) {
         const TimePoint now = Start + tick * 1ms;
@@ -237,12 +257,11 @@
             const bool admitted = fleet.request(fleet.random()() % fleet.size(), now).has_value();
             if (tick < 5000)
                 continue;
-            ++requests;
-            refused += admitted ? 0 : 1;
+            refusals.add(admitted);
         }
     }
-    INFO(refused << " of " << requests);
-    CHECK(refused * 100 <= requests);
+    INFO(refusals.m_refused << " of " << refusals.m_requests);
+    CHECK(refusals.m_refused * 100 <= refusals.m_requests);
 }
 
 // Guards against a holder's death that costs an organisation more than its part.
@@ -250,8 +269,7 @@
 {
     constexpr double Rate = 20.0;
     Fleet fleet(85, Rate, Rate, 0.0, 5);
-    int refused = 0;
-    int requests = 0;
+    Refusals refusals;
     std::poisson_distribution<int> arrivals(Rate / 1.6 / 1000.0);
     for (int tick = 0; tick < 25000; ++tick) {
         const TimePoint now = Start + tick * 1ms;
@@ -265,12 +283,11 @@
             const bool admitted = fleet.request(node, now).has_value();
             if (tick < 15000)
                 continue;
-            ++requests;
-            refused += admitted ? 0 : 1;
+            refusals.add(admitted);
         }
     }
-    INFO(refused << " of " << requests);
-    CHECK(refused * 20 <= requests);
+    INFO(refusals.m_refused << " of " << refusals.m_requests);
+    CHECK(refusals.m_refused * 20 <= refusals.m_requests);
 }
 
 // Guards against tokens that remain from a limit that was lowered.
