Let a node that starts anew read the table before it writes its row

Cause: a node read the table of nodes only after its row was written. The store performs the writes of one part one after the other (200 a second), each restart cost two, and 91 nodes restarted at once: policy in force at 13.51 s, own row found at 13.53 s, links made at 14.5 to 15.0 s. Until then no node knew who shares the rates, and said that organisations exceeded them. Change: the table is read first. A node whose earlier process has left a row at the same address writes only what has changed; one without a row writes it and reads again, as before. While the sharing nodes are unknown callers get 503 with a time to come back that outlasts the usual start, not 429. Ruled out: rows in several parts (more reads a start; the write would still come first); following the table (a waiting call a node). New tests; before: six nodes with writes of 400 ms are not linked after 0.7 s and refuse with 429, a restart costs two writes.

--- a/packages/relay/control/noderegistry.cpp
+++ b/packages/relay/control/noderegistry.cpp
@@ -27,13 +27,13 @@
 
 void NodeRegistry::start()
 {
-    write();
+    read();
 }
 
 void NodeRegistry::setDeparted(std::vector<traffic::DepartedInstance> departed)
 {
     m_departed = std::move(departed);
-    // Until the first write has succeeded it is repeated anyway.
+    // Until the own row is known it is compared with what it should hold anyway.
     if (m_knowsOwnRow)
         write();
 }
@@ -62,50 +62,70 @@
             return;
         }
         m_failures = 0;
-        m_version = result.m_row.m_version;
         // After a lost answer the row can hold what this call was to write.
         const bool stands =
                 result.m_status == WriteStatus::Written || result.m_row.m_value == value;
-        if (!stands)
+        if (stands)
+            m_version = result.m_row.m_version;
+        else
             mergeRow(result.m_row);
-        m_knowsOwnRow = true;
         if (m_dirty || !stands)
             write();
-        else if (!m_hasRead && !std::exchange(m_reading, true))
+        else if (!m_hasRead)
             read();
     });
 }
 
-void NodeRegistry::mergeRow(const StoreRow &row)
+void NodeRegistry::read()
+{
+    m_store.read(NodeTable, [this](bool succeeded, const std::vector<StoreRow> &rows) {
+        if (!succeeded) {
+            retry([this] { read(); });
+            return;
+        }
+        m_failures = 0;
+        const StoreRow *own = nullptr;
+        for (const StoreRow &row : rows) {
+            if (row.m_key == m_mesh.self().m_node)
+                own = &row;
+            else
+                learn(row);
+        }
+        // Without a row of its own this node may be missing in what others have read, and they in
+        // what it has read; after the write at least one of two finds the other.
+        m_hasRead = own != nullptr || m_version > 0;
+        if (m_knowsOwnRow)
+            return;
+        const bool needsWrite = own == nullptr || mergeRow(*own);
+        m_knowsOwnRow = true;
+        if (needsWrite)
+            write();
+    });
+}
+
+bool NodeRegistry::mergeRow(const StoreRow &row)
 {
     m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Info,
                          {{"event", m_knowsOwnRow ? "node-row-conflict" : "node-row-found"},
                           {"version", std::to_string(row.m_version)}},
                          std::chrono::steady_clock::now());
+    m_version = row.m_version;
     // Only processes of this node write the row: an earlier one, or an earlier write of this one
     // whose outcome was unknown.
     const std::optional<NodeRow> node = parseNodeRow(row);
     if (!node)
-        return;
+        return true;
     if (m_profile.empty())
         m_profile = node->m_profile;
-    // The callback asks for a write of the merged row, which the caller does.
+    // The callback asks for a write of the merged row, which the caller does if it is needed.
     m_writing = true;
     m_onOwnRow(*node);
     m_writing = false;
-}
-
-void NodeRegistry::read()
-{
-    m_store.read(NodeTable, [this](bool succeeded, const std::vector<StoreRow> &rows) {
-        if (!succeeded) {
-            retry([this] { read(); });
-            return;
-        }
-        for (const StoreRow &row : rows)
-            learn(row);
-        m_hasRead = true;
-    });
+    m_dirty = false;
+    const NodeRecord &self = m_mesh.self();
+    return node->m_record.m_address != self.m_address
+            || node->m_record.m_failureDomain != self.m_failureDomain
+            || node->m_record.m_region != self.m_region || node->m_departed != m_departed;
 }
 
 void NodeRegistry::learn(const StoreRow &row)
@@ -117,10 +137,8 @@
                              std::chrono::steady_clock::now());
         return;
     }
-    if (node->m_record.m_node != m_mesh.self().m_node) {
-        m_mesh.learn(node->m_record);
-        m_mesh.learnProfile(node->m_record.m_node, node->m_profile);
-    }
+    m_mesh.learn(node->m_record);
+    m_mesh.learnProfile(node->m_record.m_node, node->m_profile);
 }
 
 void NodeRegistry::retry(const std::function<void()> &action)
--- a/packages/relay/control/noderegistry.h
+++ b/packages/relay/control/noderegistry.h
@@ -11,10 +11,11 @@
 namespace chervilmount::relay {
 
 /**
- * Makes the node known to others by its row in the store, and finds the others there. The row is
- * written before the table is read: of two nodes that start together at least one sees the other,
- * and dials it. The first write expects that there is no row; otherwise the store answers with the
- * row that an earlier process of this node has left.
+ * Makes the node known to others by its row in the store, and finds the others there. A node whose
+ * earlier process has left a row reads the table once and writes only what has changed: the store
+ * performs the writes one after the other, which takes long when many nodes start at once. A node
+ * without a row writes it and reads the table again: of two nodes that start together at least one
+ * sees the other, and dials it.
  */
 class NodeRegistry
 {
@@ -22,7 +23,7 @@
     NodeRegistry(SharedStore &store, Mesh &mesh, TimerQueue &timers, BoundedLog &log,
                  std::mt19937_64 &random);
 
-    /** Writes the row and reads the table; repeated until both have succeeded. */
+    /** Reads the table and writes the row if needed; repeated until both have succeeded. */
     void start();
 
     /** Write the row again because what it holds has changed. @{ */
@@ -40,7 +41,8 @@
 
 private:
     void write();
-    void mergeRow(const StoreRow &row);
+    /** Takes what an earlier process has left. @returns whether the row has to be written. */
+    bool mergeRow(const StoreRow &row);
     void read();
     void learn(const StoreRow &row);
     void retry(const std::function<void()> &action);
@@ -55,7 +57,6 @@
     /** Version of this node's row as far as known; 0 if it does not exist. */
     std::uint64_t m_version = 0;
     bool m_knowsOwnRow = false;
-    bool m_reading = false;
     bool m_hasRead = false;
     bool m_writing = false;
     bool m_dirty = false;
--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -14,8 +14,8 @@
 /** Time after which another node is asked while a request waits. */
 constexpr Milliseconds AskAgainInterval{12};
 constexpr std::size_t MostWaitingForTokens = 200;
-/** When callers return while the node has no policy yet. */
-constexpr Milliseconds NoPolicyRetryAfter{400};
+/** When callers return while the node has no policy yet or does not know the other nodes. */
+constexpr Milliseconds StartRetryAfter{400};
 /** When callers that still use a node which is about to end come back, to another one. */
 constexpr Milliseconds StoppingRetryAfter{200};
 constexpr Milliseconds ShortestAllotmentRetryAfter{200};
@@ -37,7 +37,7 @@
     entry.m_policy = m_services.m_policy.current();
     if (!entry.m_policy) {
         refuse(session, std::move(entry), Outcome::RefusedUnavailable, 503, "no policy known yet",
-               NoPolicyRetryAfter);
+               StartRetryAfter);
         return;
     }
     std::string problem;
@@ -169,6 +169,11 @@
 
 void EntryHandler::waitForTokens(const std::shared_ptr<HttpSession> &session, EntryRequest request)
 {
+    if (m_services.m_rates.m_sharers.empty()) {
+        refuse(session, std::move(request), Outcome::RefusedUnavailable, 503,
+               "it is not known yet who shares the organisation's rate", StartRetryAfter);
+        return;
+    }
     if (m_waiting.size() >= MostWaitingForTokens || m_services.m_mesh.linkedPeers() == 0) {
         refuseOverAllotment(session, std::move(request));
         return;
--- a/packages/traffic/instance/instanceregister.h
+++ b/packages/traffic/instance/instanceregister.h
@@ -32,6 +32,8 @@
     std::string m_id;
     /** Wall-clock time of the start that left. */
     std::chrono::milliseconds m_startedAt{0};
+
+    bool operator==(const DepartedInstance &other) const = default;
 };
 
 /**
--- a/tests/platform/lifecycle_test.cpp
+++ b/tests/platform/lifecycle_test.cpp
@@ -313,3 +313,57 @@
             },
             2s));
 }
+
+// Guards against a fleet that starts anew and is without links until each node's row, one after the
+// other, has been written.
+TEST_CASE("Nodes that are all killed find each other before the store has performed their writes")
+{
+    Fleet fleet;
+    for (int node = 0; node < 6; ++node)
+        fleet.addNode("n" + std::to_string(node), "slipdesk");
+    fleet.configure(1);
+    REQUIRE(fleet.settle());
+    fleet.runFor(300ms);
+    for (const std::unique_ptr<FleetNode> &node : fleet.m_nodes)
+        fleet.kill(*node);
+    fleet.m_store.m_faults.m_writeTime = 400ms;
+    for (const std::unique_ptr<FleetNode> &node : fleet.m_nodes)
+        fleet.restart(*node);
+    CHECK(fleet.settle(700ms));
+    for (const std::unique_ptr<FleetNode> &node : fleet.m_nodes)
+        fleet.announce(*node);
+    fleet.runFor(200ms);
+    // Within its rate and burst, which are shared by nodes that know each other.
+    CallerRequest request;
+    request.m_key = "key-small";
+    CHECK(fleet.request(*fleet.m_nodes[0], request, "a1").m_status == 200);
+}
+
+// Guards against nodes that start together on an empty table, each of which misses the others.
+TEST_CASE("Nodes that start together for the first time find each other")
+{
+    Fleet fleet;
+    fleet.m_store.m_faults.m_writeTime = 50ms;
+    for (int node = 0; node < 6; ++node)
+        fleet.addNode("n" + std::to_string(node), "slipdesk");
+    fleet.configure(1);
+    CHECK(fleet.settle());
+}
+
+// Guards against a call to the store at each start that changes nothing.
+TEST_CASE("A node that starts anew at its address writes its row only when that changes")
+{
+    Fleet fleet;
+    REQUIRE(fleet.startTwo());
+    fleet.runFor(300ms);
+    const int before = fleet.m_store.m_calls["/rows-tx"];
+    fleet.kill(*fleet.m_nodes[0]);
+    fleet.restart(*fleet.m_nodes[0]);
+    REQUIRE(fleet.settle());
+    fleet.runFor(500ms);
+    CHECK(fleet.m_store.m_calls["/rows-tx"] == before);
+    CHECK(fleet.tell(*fleet.m_nodes[0], "DELETE", "i-n1", "") == 200);
+    CHECK(fleet.runUntil([&fleet] {
+        return fleet.m_store.value("chervilmount-nodes", "n1").find("i-n1") != std::string::npos;
+    }));
+}
--- a/tests/platform/standin/fleet.cpp
+++ b/tests/platform/standin/fleet.cpp
@@ -116,15 +116,18 @@
     runUntil([] { return false; }, duration);
 }
 
-bool Fleet::settle()
-{
-    return runUntil([this] {
-        for (const std::unique_ptr<FleetNode> &node : m_nodes) {
-            if (!node->m_node->isReady() || node->m_node->linkedPeers() + 1 != m_nodes.size())
-                return false;
-        }
-        return true;
-    });
+bool Fleet::settle(std::chrono::milliseconds limit)
+{
+    return runUntil(
+            [this] {
+                for (const std::unique_ptr<FleetNode> &node : m_nodes) {
+                    if (!node->m_node->isReady()
+                        || node->m_node->linkedPeers() + 1 != m_nodes.size())
+                        return false;
+                }
+                return true;
+            },
+            limit);
 }
 
 bool Fleet::startTwo()
--- a/tests/platform/standin/fleet.h
+++ b/tests/platform/standin/fleet.h
@@ -80,7 +80,7 @@
     void runFor(std::chrono::milliseconds duration);
 
     /** Waits until every node is ready and linked to all others. */
-    bool settle();
+    bool settle(std::chrono::milliseconds limit = std::chrono::seconds{5});
 
     /** Starts two nodes beside backend servers of the callers' service. @returns whether they are
      * ready. */
--- a/tests/platform/standin/rowstore.cpp
+++ b/tests/platform/standin/rowstore.cpp
@@ -120,11 +120,17 @@
         respond(session, 429, {});
         return;
     }
-    if (m_faults.m_delay.count() == 0) {
+    const auto now = std::chrono::steady_clock::now();
+    auto time = now + m_faults.m_delay;
+    if (writes) {
+        m_writesUntil = std::max(m_writesUntil, now) + m_faults.m_writeTime;
+        time = std::max(time, m_writesUntil);
+    }
+    if (time <= now) {
         handle(session, target, request.body());
         return;
     }
-    m_timers.add(std::chrono::steady_clock::now() + m_faults.m_delay,
+    m_timers.add(time,
                  [this, session, target, body = request.body()] { handle(session, target, body); });
 }
 
--- a/tests/platform/standin/rowstore.h
+++ b/tests/platform/standin/rowstore.h
@@ -32,6 +32,8 @@
     int m_writesPerSecond = 0;
     int m_readsPerSecond = 0;
     /** @} */
+    /** Time that a write takes; writes are performed one after the other. */
+    std::chrono::milliseconds m_writeTime{0};
 };
 
 /** The platform's store in memory: rows with versions, transactions and a feed of changes. */
@@ -111,6 +113,8 @@
     chervilmount::relay::TimerQueue m_timers;
     chervilmount::traffic::CallerLimits m_limits;
     std::list<chervilmount::relay::HttpServer> m_servers;
+    /** When the writes received so far are performed. */
+    std::chrono::steady_clock::time_point m_writesUntil;
     CallRate m_writeRate;
     CallRate m_readRate;
     std::vector<std::string> m_heldWrites;
