Count nested calls when the run that made them ends

Cause, first part: calls were counted at once, their runs when they ended. While runs begin faster than they end, calls per run come out too high, at each level of the call tree anew. With runs of one second and ten calls each the estimate after 11 runs is 55 calls a run. Change: calls of open runs wait until a run of the route ends, which takes its part of them.

--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -227,6 +227,7 @@
     run.m_running = true;
     run.m_startedAt = now;
     ++m_active[run.m_call.m_route];
+    traffic::beginRun(m_profile, run.m_call.m_route);
     m_timers.cancel(run.m_timer);
     run.m_handedDeadline = traffic::enterRun(m_lineage, number, run.m_deadline);
     run.m_timer = m_timers.add(run.m_deadline + AnswerMargin, [this, number] { timedOut(number); });
@@ -390,6 +391,8 @@
     // Failed runs count as well: they have held the slot and made calls.
     if (run.m_sent)
         traffic::recordRun(m_profile, run.m_call.m_route, held);
+    else
+        traffic::dropRun(m_profile, run.m_call.m_route);
     if (Answer *answer = std::get_if<Answer>(&result)) {
         answer->m_load = load();
     } else {
--- a/packages/traffic/profile/callprofile.cpp
+++ b/packages/traffic/profile/callprofile.cpp
@@ -1,5 +1,6 @@
 #include "traffic/profile/callprofile.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 #include <vector>
@@ -48,9 +49,20 @@
 
 } // namespace
 
+void beginRun(CallProfile &profile, const std::string &route)
+{
+    profile[route].m_openRuns += 1.0;
+}
+
+void dropRun(CallProfile &profile, const std::string &route)
+{
+    RouteProfile &dropped = profile[route];
+    dropped.m_openRuns = std::max(0.0, dropped.m_openRuns - 1.0);
+}
+
 void recordNestedCall(CallProfile &profile, const std::string &parent, const std::string &route)
 {
-    profile[parent].m_calls[route] += 1.0;
+    profile[parent].m_openCalls[route] += 1.0;
 }
 
 void recordUnassignedCall(CallProfile &profile, const ActiveRuns &active, const std::string &route)
@@ -69,7 +81,7 @@
     if (!(sum > 0))
         return;
     for (const auto &[parent, weight] : weights)
-        profile[parent].m_calls[route] += weight / sum;
+        profile[parent].m_openCalls[route] += weight / sum;
 }
 
 void recordRun(CallProfile &profile, const std::string &route, std::chrono::nanoseconds lasted)
@@ -77,6 +89,14 @@
     RouteProfile &calls = profile[route];
     calls.m_runs += 1.0;
     calls.m_activeSeconds += std::chrono::duration<double>(lasted).count();
+    // Which of the open runs made a call is not always known; each is taken to have made as many.
+    const double part = 1.0 / std::max(1.0, calls.m_openRuns);
+    for (auto &[callee, open] : calls.m_openCalls) {
+        const double made = open * part;
+        calls.m_calls[callee] += made;
+        open -= made;
+    }
+    calls.m_openRuns = std::max(0.0, calls.m_openRuns - 1.0);
 }
 
 void ageProfile(CallProfile &profile, std::chrono::nanoseconds elapsed)
--- a/packages/traffic/profile/callprofile.h
+++ b/packages/traffic/profile/callprofile.h
@@ -15,11 +15,22 @@
     double m_activeSeconds = 0.0;
     /** Nested calls of these runs, by their route. */
     std::unordered_map<std::string, double> m_calls;
+    /** Runs that go on, and their nested calls so far. They count only when the runs end: calls
+     * without their runs would make a run look more expensive whenever many begin at once. @{ */
+    double m_openRuns = 0.0;
+    std::unordered_map<std::string, double> m_openCalls;
+    /** @} */
 };
 
 /** Profiles by route: what one node has observed, or the sum over nodes. */
 using CallProfile = std::unordered_map<std::string, RouteProfile>;
 
+/** Counts the start of a run. */
+void beginRun(CallProfile &profile, const std::string &route);
+
+/** Forgets a run that was begun and did not reach the backend server. */
+void dropRun(CallProfile &profile, const std::string &route);
+
 /** Counts a nested call that a run of @p parent made on @p route. */
 void recordNestedCall(CallProfile &profile, const std::string &parent, const std::string &route);
 
@@ -34,7 +45,8 @@
  */
 void recordUnassignedCall(CallProfile &profile, const ActiveRuns &active, const std::string &route);
 
-/** Counts the end of a run. @param lasted time for which it was at the backend server. */
+/** Counts the end of a run and its part of the calls of open runs. @param lasted time for which it
+ * was at the backend server. */
 void recordRun(CallProfile &profile, const std::string &route, std::chrono::nanoseconds lasted);
 
 /** Lets what was observed earlier count less; to be called about every second. */
--- a/tests/traffic/lineage_test.cpp
+++ b/tests/traffic/lineage_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <random>
 
 using namespace chervilmount::traffic;
@@ -103,3 +104,29 @@
     }
     CHECK(expectedRuns(profile, "a").size() == 2);
 }
+
+// Guards against costs of call trees that are overestimated after a start or at a surge: runs that
+// have not ended yet have made calls already.
+TEST_CASE("Calls of runs that go on do not raise the calls per run")
+{
+    constexpr int RunsPerSecond = 100;
+    constexpr int Calls = 10;
+    CallProfile profile;
+    // Each run lasts one second and makes its calls evenly.
+    for (int tick = 0; tick < 4 * RunsPerSecond; ++tick) {
+        beginRun(profile, "lookup");
+        for (int call = 0; call < std::min(tick, RunsPerSecond); ++call) {
+            if (call % (RunsPerSecond / Calls) == 0)
+                recordNestedCall(profile, "lookup", "grades");
+        }
+        if (tick < RunsPerSecond)
+            continue;
+        recordRun(profile, "lookup", 1s);
+        if (tick < RunsPerSecond + 10)
+            continue;
+        const double calls = expectedRuns(profile, "lookup").at("grades").m_runs;
+        INFO("after " << tick - RunsPerSecond << " runs");
+        CHECK(calls >= 0.5 * Calls);
+        CHECK(calls <= 1.15 * Calls);
+    }
+}
