Keep departures that are recorded late or while the node ends

A process that is killed then leaves a write which the store may perform after the next process has read the row; one that is stopped ended without waiting for it. The next process would give the leaving backend server new work (DRAIN). Change: a node writes its row at each start although it has read it: the earlier process's write then meets another version, or is noticed by the conflict. A stopping node waits for the record of its departures as it does for requests. A row that names another address does not count as a way to be found: the table is read again after the write. Replaces the test of an unchanged row that is not written: the write is needed.

--- a/packages/relay/control/noderegistry.cpp
+++ b/packages/relay/control/noderegistry.cpp
@@ -32,6 +32,7 @@
 
 void NodeRegistry::setDeparted(std::vector<traffic::DepartedInstance> departed)
 {
+    m_keepsDepartures = m_keepsDepartures && m_departed == departed;
     m_departed = std::move(departed);
     // Until the own row is known it is compared with what it should hold anyway.
     if (m_knowsOwnRow)
@@ -69,9 +70,12 @@
             m_version = result.m_row.m_version;
         else
             mergeRow(result.m_row);
-        if (m_dirty || !stands)
+        if (m_dirty || !stands) {
             write();
-        else if (!m_hasRead)
+            return;
+        }
+        m_keepsDepartures = true;
+        if (!m_hasRead)
             read();
     });
 }
@@ -91,15 +95,14 @@
             else
                 learn(row);
         }
-        // Without a row of its own this node may be missing in what others have read, and they in
-        // what it has read; after the write at least one of two finds the other.
-        m_hasRead = own != nullptr || m_version > 0;
-        if (m_knowsOwnRow)
+        // Unless others find this node by its earlier row, it may be missing in what they have
+        // read, and they in what it has read; after the write at least one of two finds the other.
+        m_hasRead = m_knowsOwnRow || (own != nullptr && mergeRow(*own));
+        if (std::exchange(m_knowsOwnRow, true))
             return;
-        const bool needsWrite = own == nullptr || mergeRow(*own);
-        m_knowsOwnRow = true;
-        if (needsWrite)
-            write();
+        // Also an unchanged row is written: a write of the earlier process that the store performs
+        // later then meets another version, and one that was performed meanwhile is noticed.
+        write();
     });
 }
 
@@ -114,7 +117,7 @@
     // whose outcome was unknown.
     const std::optional<NodeRow> node = parseNodeRow(row);
     if (!node)
-        return true;
+        return false;
     if (m_profile.empty())
         m_profile = node->m_profile;
     // The callback asks for a write of the merged row, which the caller does if it is needed.
@@ -123,9 +126,9 @@
     m_writing = false;
     m_dirty = false;
     const NodeRecord &self = m_mesh.self();
-    return node->m_record.m_address != self.m_address
-            || node->m_record.m_failureDomain != self.m_failureDomain
-            || node->m_record.m_region != self.m_region || node->m_departed != m_departed;
+    return node->m_record.m_address == self.m_address
+            && node->m_record.m_failureDomain == self.m_failureDomain
+            && node->m_record.m_region == self.m_region;
 }
 
 void NodeRegistry::learn(const StoreRow &row)
--- a/packages/relay/control/noderegistry.h
+++ b/packages/relay/control/noderegistry.h
@@ -12,10 +12,10 @@
 
 /**
  * Makes the node known to others by its row in the store, and finds the others there. A node whose
- * earlier process has left a row reads the table once and writes only what has changed: the store
- * performs the writes one after the other, which takes long when many nodes start at once. A node
- * without a row writes it and reads the table again: of two nodes that start together at least one
- * sees the other, and dials it.
+ * earlier process has left a row reads the table before it writes: the store performs the writes
+ * one after the other, which takes long when many nodes start at once. A node without a row, or
+ * with one that names another address, reads the table again after the write: of two nodes that
+ * start together at least one sees the other, and dials it.
  */
 class NodeRegistry
 {
@@ -33,6 +33,8 @@
 
     /** @returns whether it is known what this node's row held before the start. */
     bool knowsOwnRow() const { return m_knowsOwnRow; }
+    /** @returns whether the row in the store has all departures that were passed. */
+    bool keepsDepartures() const { return m_keepsDepartures; }
     /** @returns whether the table has been read since the start. */
     bool hasRead() const { return m_hasRead; }
 
@@ -41,7 +43,7 @@
 
 private:
     void write();
-    /** Takes what an earlier process has left. @returns whether the row has to be written. */
+    /** Takes what an earlier process has left. @returns whether others find this node by it. */
     bool mergeRow(const StoreRow &row);
     void read();
     void learn(const StoreRow &row);
@@ -58,6 +60,7 @@
     std::uint64_t m_version = 0;
     bool m_knowsOwnRow = false;
     bool m_hasRead = false;
+    bool m_keepsDepartures = true;
     bool m_writing = false;
     bool m_dirty = false;
     int m_failures = 0;
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -418,12 +418,16 @@
         return;
     if (!m_mesh.self().m_leaving && !traffic::servesOthers(stop, now))
         m_mesh.updateSelf([](NodeRecord &record) { record.m_leaving = true; });
-    if (traffic::givesUp(stop, now))
+    if (traffic::givesUp(stop, now)) {
+        m_gate.stopNewRuns();
         giveUpRequests();
+    }
     const std::size_t runs = m_gate.activeRuns();
     const std::size_t sessions = m_callers.busySessions();
     const std::size_t links = m_mesh.linksWithUnsentAnswers();
-    if (!traffic::hasEnded(stop, runs + sessions + links > 0, now))
+    // A departure that was acknowledged binds the next process as well.
+    const bool busy = runs + sessions + links > 0 || !m_registry.keepsDepartures();
+    if (!traffic::hasEnded(stop, busy, now))
         return;
     m_stopped = true;
     logState(
@@ -433,7 +437,8 @@
                       std::chrono::duration_cast<Milliseconds>(now - *stop.m_requestedAt).count())},
              {"running", std::to_string(runs)},
              {"busy_sessions", std::to_string(sessions)},
-             {"unsent_links", std::to_string(links)}});
+             {"unsent_links", std::to_string(links)},
+             {"departures_kept", m_registry.keepsDepartures() ? "true" : "false"}});
     m_callers.close();
     m_mesh.close();
     if (m_onStopped)
