Bound late repeats, and take nested calls that expire in time

Found by review: a request taken before the stop could be sent again, or for the first time, right before the process ended; a nested call with a short deadline of its own was refused although it could not outlast the process. Change: attempts keep to the deadline of the stop, also those of earlier requests; the time that a nested call needs is at most the time that it has. platform tests 44 of 44.

--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -147,7 +147,7 @@
     });
     call.m_body = request.body();
     call.m_remaining =
-            std::max(Milliseconds{0}, std::chrono::floor<Milliseconds>(m_entry.m_deadline - now));
+            std::max(Milliseconds{0}, std::chrono::floor<Milliseconds>(deadline() - now));
     call.m_priority = m_entry.m_priority;
     call.m_nested = m_entry.m_nested;
     call.m_organisation = m_entry.m_organisation;
@@ -164,6 +164,11 @@
     return call;
 }
 
+EntryCall::TimePoint EntryCall::deadline() const
+{
+    return std::min(m_entry.m_deadline, traffic::latestDeadline(m_services.m_stop));
+}
+
 void EntryCall::ended(const std::string &node, CallResult result)
 {
     if (m_finished)
@@ -217,7 +222,7 @@
 {
     if (!failure.m_notRun && !isIdempotent())
         return false;
-    const std::chrono::duration<double> left = m_entry.m_deadline - now;
+    const std::chrono::duration<double> left = deadline() - now;
     const std::chrono::duration<double> whole = m_entry.m_deadline - m_entry.m_arrivedAt;
     if (left < whole * LeastTimeLeftShare)
         return false;
--- a/packages/relay/entry/entrycall.h
+++ b/packages/relay/entry/entrycall.h
@@ -62,6 +62,8 @@
     void attempt();
     void refuseWithoutRoom(const std::string &reason);
     Call makeCall(TimePoint now) const;
+    /** @returns when the request expires, or has to have ended because the process does. */
+    TimePoint deadline() const;
     void ended(const std::string &node, CallResult result);
     void answered(const std::string &node, Answer answer);
     void failed(const std::string &node, const Failure &failure);
--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -70,9 +70,12 @@
     const std::chrono::duration<double> expected =
             request.m_route->m_targetLatency * m_services.m_settings.m_gate.m_nestedWaitShare
             + m_services.m_loads.expectedHold(request.m_route->m_name) * HoldMargin;
-    return traffic::servesNestedCall(m_services.m_stop,
-                                     std::chrono::duration_cast<std::chrono::nanoseconds>(expected),
-                                     request.m_arrivedAt);
+    // A call that expires before the process ends cannot be cut, however long it takes.
+    const std::chrono::nanoseconds longest = request.m_deadline - request.m_arrivedAt;
+    return traffic::servesNestedCall(
+            m_services.m_stop,
+            std::min(std::chrono::duration_cast<std::chrono::nanoseconds>(expected), longest),
+            request.m_arrivedAt);
 }
 
 void EntryHandler::tokensArrived()
