Count a caller's idle time from the response on

Callers could see an answer cut: a session counted as idle since the last byte received, so that a response which takes some time to write was cut at once when its request had run longer than the idle timeout. Change: the time counts from the response on. New test, 16 MB after a run of 5.2 s with an idle timeout of 5 s: before, cut before its end; after, whole. The stop under steady load also has to serve callers early in it.

--- a/packages/relay/http/httpsession.cpp
+++ b/packages/relay/http/httpsession.cpp
@@ -44,6 +44,8 @@
         return;
     m_handling = false;
     m_onAbandoned = nullptr;
+    // The request may have taken longer than a caller may stay idle.
+    m_lastActivity = std::chrono::steady_clock::now();
     m_response = std::move(response);
     m_response.keep_alive(!closes);
     m_response.prepare_payload();
--- a/tests/platform/stop_test.cpp
+++ b/tests/platform/stop_test.cpp
@@ -156,13 +156,17 @@
     fleet.kill(stopping);
     fleet.runFor(500ms);
     int request = 0;
+    int served = 0;
     for (const std::optional<CallerResponse> &response : responses) {
         const std::string attempt = "a" + std::to_string(++request);
         const bool ran = stopping.m_backend->runs(attempt) > 0
                 || fleet.m_nodes[1]->m_backend->runs(attempt) > 0;
         INFO(attempt);
         CHECK((!ran || (response && response->m_status == 200)));
+        served += response && response->m_status == 200 ? 1 : 0;
     }
+    // Callers that have not noticed the stop yet are served.
+    CHECK(served >= 30);
 }
 
 // Guards against a request that was taken before the stop and is cut although it could end in time.
@@ -275,3 +279,34 @@
     REQUIRE(received);
     CHECK(*received > LargeBody);
 }
+
+// Guards against a response that is cut because the request took longer than a caller may stay
+// idle.
+TEST_CASE("A response to a long request is written to a caller that reads it steadily")
+{
+    StopCase stop;
+    constexpr std::size_t LargeBody = 16UL * 1024 * 1024;
+    // The idle timeout of the fleet's configuration is 5 s.
+    stop.stopping().m_backend->m_serviceTime = 5200ms;
+    stop.stopping().m_backend->m_additionalBytes = LargeBody;
+    boost::asio::ip::tcp::socket socket(stop.m_fleet.m_context);
+    socket.open(boost::asio::ip::tcp::v4());
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(131072));
+    socket.connect(relay::parseEndpoint(stop.stopping().m_settings.m_relay.m_callerAddress));
+    const std::string request = "GET /slips/1 HTTP/1.1\r\nHost: slips.example\r\n"
+                                "X-Chervilmount-Attempt-Id: large\r\n"
+                                "X-Chervilmount-Deadline-Ms: 10000\r\n"
+                                "X-Chervilmount-Key: key-large\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request));
+    socket.non_blocking(true);
+    std::vector<char> part(131072);
+    std::size_t received = 0;
+    boost::system::error_code error;
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    while (received < LargeBody && error != boost::asio::error::eof
+           && std::chrono::steady_clock::now() < end) {
+        stop.m_fleet.runFor(10ms);
+        received += socket.read_some(boost::asio::buffer(part), error);
+    }
+    CHECK(received >= LargeBody);
+}
