Bound the correction of costs when it misleads, and count known calls with their run

Nested calls whose run is known are counted with it, only the others are shared out, in a structure beside the profile.

--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -141,7 +141,7 @@
         request.m_nested = true;
         request.m_priority = parent->m_priority;
         request.m_parent = parent->m_attempt;
-        m_services.m_gate.recordNestedCall(parent->m_route, request.m_route->m_name);
+        m_services.m_gate.recordNestedCall(parent->m_run, request.m_route->m_name);
         return;
     }
     // Backend servers call without a key, and some calls expire before the run that makes them.
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -148,17 +148,19 @@
     if (found == m_runs.end())
         return std::nullopt;
     const Call &call = found->second.m_call;
-    return ParentRun{call.m_attempt, call.m_route, call.m_priority};
+    return ParentRun{*number, call.m_attempt, call.m_priority};
 }
 
-void LocalGate::recordNestedCall(const std::string &parentRoute, const std::string &route)
+void LocalGate::recordNestedCall(std::uint64_t parent, const std::string &route)
 {
-    traffic::recordNestedCall(m_profile, parentRoute, route);
+    const auto found = m_runs.find(parent);
+    if (found != m_runs.end())
+        found->second.m_nestedCalls[route] += 1.0;
 }
 
 void LocalGate::recordUnassignedCall(const std::string &route)
 {
-    traffic::recordUnassignedCall(m_profile, m_active, route);
+    traffic::recordUnassignedCall(m_openCalls, m_profile, m_active, route);
 }
 
 void LocalGate::ageProfile(std::chrono::nanoseconds elapsed)
@@ -227,7 +229,6 @@
     run.m_running = true;
     run.m_startedAt = now;
     ++m_active[run.m_call.m_route];
-    traffic::beginRun(m_profile, run.m_call.m_route);
     m_timers.cancel(run.m_timer);
     run.m_handedDeadline = traffic::enterRun(m_lineage, number, run.m_deadline);
     run.m_timer = m_timers.add(run.m_deadline + AnswerMargin, [this, number] { timedOut(number); });
@@ -377,7 +378,8 @@
     m_timers.cancel(run.m_timer);
     traffic::leaveRun(m_lineage, number, run.m_handedDeadline);
     const auto active = m_active.find(run.m_call.m_route);
-    if (--active->second == 0)
+    const int activeRuns = active->second--;
+    if (activeRuns == 1)
         m_active.erase(active);
     const bool ran = std::holds_alternative<Answer>(result)
             || std::get<Failure>(result).m_reason == FailureReason::Timeout;
@@ -389,10 +391,13 @@
         traffic::recordHold(m_relativeHold, held, m_expectedHold(run.m_call.m_route), now);
     traffic::finishRun(m_gate, ran ? held : std::chrono::nanoseconds{0});
     // Failed runs count as well: they have held the slot and made calls.
-    if (run.m_sent)
-        traffic::recordRun(m_profile, run.m_call.m_route, held);
-    else
-        traffic::dropRun(m_profile, run.m_call.m_route);
+    if (run.m_sent) {
+        traffic::CallCounts calls =
+                traffic::takeOpenCalls(m_openCalls, run.m_call.m_route, activeRuns);
+        for (const auto &[callee, count] : run.m_nestedCalls)
+            calls[callee] += count;
+        traffic::recordRun(m_profile, run.m_call.m_route, held, calls);
+    }
     if (Answer *answer = std::get_if<Answer>(&result)) {
         answer->m_load = load();
     } else {
--- a/packages/relay/inbound/localgate.h
+++ b/packages/relay/inbound/localgate.h
@@ -23,9 +23,10 @@
 /** A run that a nested call belongs to. */
 struct ParentRun
 {
+    /** Number of the run at the gate. */
+    std::uint64_t m_run = 0;
     /** Identifier of the attempt. */
     std::string m_attempt;
-    std::string m_route;
     int m_priority = 0;
 };
 
@@ -64,7 +65,7 @@
     std::optional<ParentRun> parentOf(TimePoint deadline) const;
 
     /** Counts a nested call of a run. */
-    void recordNestedCall(const std::string &parentRoute, const std::string &route);
+    void recordNestedCall(std::uint64_t parent, const std::string &route);
     /** Counts a nested call whose run is not known. */
     void recordUnassignedCall(const std::string &route);
 
@@ -101,6 +102,8 @@
         bool m_resent = false;
         TimerId m_timer = 0;
         std::shared_ptr<HttpClientConnection> m_connection;
+        /** Calls that are known to be made by this run. */
+        traffic::CallCounts m_nestedCalls;
     };
 
     void start(std::uint64_t number);
@@ -126,6 +129,7 @@
     traffic::Gate m_gate;
     traffic::Lineage m_lineage;
     traffic::CallProfile m_profile;
+    traffic::OpenCalls m_openCalls;
     traffic::ActiveRuns m_active;
     overload::NameTable m_organisations;
     std::optional<traffic::InstanceAnnouncement> m_instance;
--- a/packages/traffic/profile/callprofile.cpp
+++ b/packages/traffic/profile/callprofile.cpp
@@ -49,28 +49,21 @@
 
 } // namespace
 
-void beginRun(CallProfile &profile, const std::string &route)
+void recordNestedCall(CallProfile &profile, const std::string &parent, const std::string &route,
+                      double count)
 {
-    profile[route].m_openRuns += 1.0;
+    profile[parent].m_calls[route] += count;
 }
 
-void dropRun(CallProfile &profile, const std::string &route)
-{
-    RouteProfile &dropped = profile[route];
-    dropped.m_openRuns = std::max(0.0, dropped.m_openRuns - 1.0);
-}
-
-void recordNestedCall(CallProfile &profile, const std::string &parent, const std::string &route)
-{
-    profile[parent].m_openCalls[route] += 1.0;
-}
-
-void recordUnassignedCall(CallProfile &profile, const ActiveRuns &active, const std::string &route)
+void recordUnassignedCall(OpenCalls &open, const CallProfile &profile, const ActiveRuns &active,
+                          const std::string &route)
 {
+    static const RouteProfile unknown;
     std::vector<std::pair<std::string, double>> weights;
     double sum = 0;
     for (const auto &[parent, runs] : active) {
-        const RouteProfile &calls = profile[parent];
+        const auto observed = profile.find(parent);
+        const RouteProfile &calls = observed == profile.end() ? unknown : observed->second;
         const auto counted = calls.m_calls.find(route);
         const double count = counted == calls.m_calls.end() ? 0.0 : counted->second;
         const double weight =
@@ -81,22 +74,32 @@
     if (!(sum > 0))
         return;
     for (const auto &[parent, weight] : weights)
-        profile[parent].m_openCalls[route] += weight / sum;
+        open[parent][route] += weight / sum;
 }
 
-void recordRun(CallProfile &profile, const std::string &route, std::chrono::nanoseconds lasted)
+CallCounts takeOpenCalls(OpenCalls &open, const std::string &route, int activeRuns)
 {
-    RouteProfile &calls = profile[route];
-    calls.m_runs += 1.0;
-    calls.m_activeSeconds += std::chrono::duration<double>(lasted).count();
-    // Which of the open runs made a call is not always known; each is taken to have made as many.
-    const double part = 1.0 / std::max(1.0, calls.m_openRuns);
-    for (auto &[callee, open] : calls.m_openCalls) {
-        const double made = open * part;
-        calls.m_calls[callee] += made;
-        open -= made;
+    CallCounts taken;
+    const auto found = open.find(route);
+    if (found == open.end())
+        return taken;
+    // Which of the runs made a call is not known; each is taken to have made as many.
+    const double part = 1.0 / std::max(1, activeRuns);
+    for (auto &[callee, calls] : found->second) {
+        taken[callee] = calls * part;
+        calls -= taken[callee];
     }
-    calls.m_openRuns = std::max(0.0, calls.m_openRuns - 1.0);
+    return taken;
+}
+
+void recordRun(CallProfile &profile, const std::string &route, std::chrono::nanoseconds lasted,
+               const CallCounts &calls)
+{
+    RouteProfile &observed = profile[route];
+    observed.m_runs += 1.0;
+    observed.m_activeSeconds += std::chrono::duration<double>(lasted).count();
+    for (const auto &[callee, count] : calls)
+        recordNestedCall(profile, route, callee, count);
 }
 
 void ageProfile(CallProfile &profile, std::chrono::nanoseconds elapsed)
--- a/packages/traffic/treeadmission/treeadmission.cpp
+++ b/packages/traffic/treeadmission/treeadmission.cpp
@@ -11,12 +11,13 @@
 /** Longest step of the correction; a node that was paused must not act on one old value for long.
  */
 constexpr double LongestStepSeconds = 0.3;
+constexpr std::chrono::milliseconds LongestPause{1000};
 /** Time in which the correction returns to 1 while nothing is shed. */
 constexpr Seconds CorrectionFadeTime{10.0};
 constexpr double UseAveragingSeconds = 0.5;
 /** Time in which the calls of an admitted tree reach the service. */
 constexpr double ArrivalSeconds = 0.5;
-/** Use below which it says little about the costs: not enough has arrived yet. */
+/** Use below which it says little about the costs. */
 constexpr double LeastCountedUse = 0.05;
 /** A queue of short runs makes the use large although it is served within moments. */
 constexpr double LargestCountedUse = 1.5;
@@ -36,26 +37,39 @@
     return sum;
 }
 
-/** Follows the use that the admitted requests are expected to make of the service. */
-void expectUse(ServiceAdmission &state, double slots, const WorkByLevel &demand, double step)
+void follow(double &average, double value, double step, double time)
+{
+    average += (value - average) * std::min(1.0, step / time);
+}
+
+/** Follows the runs that the admitted requests are expected to make at the service. */
+void expectRuns(ServiceAdmission &state, const WorkByLevel &demand, double step)
 {
     double admitted = 0;
     for (std::size_t level = 0; level < demand.size(); ++level)
         admitted += demand[level] * state.m_shares[level];
-    state.m_admittedUse +=
-            (admitted / slots - state.m_admittedUse) * std::min(1.0, step / ArrivalSeconds);
-    state.m_expectedUse +=
-            (state.m_admittedUse - state.m_expectedUse) * std::min(1.0, step / UseAveragingSeconds);
+    follow(state.m_admittedRuns, admitted, step, ArrivalSeconds);
+    follow(state.m_expectedRuns, state.m_admittedRuns, step, UseAveragingSeconds);
 }
 
-/** @returns the correction with which the expected use would have been the reported one. */
-double neededCorrection(const ServiceAdmission &state, const TreeAdmissionSettings &settings)
+/** Corrects the costs by the quotient of expected and reported runs. */
+void correct(ServiceAdmission &state, const TreeAdmissionSettings &settings, double slots,
+             bool sheds, double step)
 {
-    const double use = std::clamp(state.m_use, LeastCountedUse, LargestCountedUse);
-    if (state.m_expectedUse < LeastCountedUse)
-        return state.m_correction;
-    return std::clamp(state.m_expectedUse / use, settings.m_leastCorrection,
-                      settings.m_mostCorrection);
+    const double runs = std::min(state.m_runs, LargestCountedUse * slots);
+    const bool known = std::min(runs, state.m_expectedRuns) > LeastCountedUse * slots;
+    // Hardly any runs say that requests fail on their way, not that they cost nothing.
+    const double needed = known ? std::clamp(state.m_expectedRuns / runs,
+                                             settings.m_leastCorrection, settings.m_mostCorrection)
+                                : std::min(state.m_correction, 1.0);
+    // A correction that is too large hides that load has to be shed.
+    const double wanted = sheds ? needed : std::max(needed, 1.0);
+    if (wanted < state.m_correction)
+        follow(state.m_correction, wanted, step, Seconds(settings.m_lowerTime).count());
+    else if (sheds)
+        follow(state.m_correction, wanted, step, Seconds(settings.m_raiseTime).count());
+    else
+        follow(state.m_correction, 1.0, step, CorrectionFadeTime.count());
 }
 
 std::size_t indexOf(int level)
@@ -76,23 +90,25 @@
 {
     const TreeAdmissionSettings &settings = admission.m_settings;
     ServiceAdmission &state = admission.m_services[service];
+    // After a pause, or without slots, what was expected before says nothing.
+    const bool isNew = now - state.m_updatedAt > LongestPause;
     const double step =
             std::clamp(Seconds(now - state.m_updatedAt).count(), 0.0, LongestStepSeconds);
-    state.m_updatedAt = now;
     if (load.m_slots <= 0) {
         // Calls that cannot be placed are refused where they are placed.
-        state.m_shares.fill(1.0);
+        state = ServiceAdmission();
         return;
     }
+    state.m_updatedAt = now;
     const double use = load.m_runs / load.m_slots;
-    state.m_use += (use - state.m_use) * std::min(1.0, step / UseAveragingSeconds);
+    if (isNew) {
+        state.m_use = use;
+        state.m_runs = state.m_admittedRuns = state.m_expectedRuns = load.m_runs;
+    }
+    follow(state.m_use, use, step, UseAveragingSeconds);
+    follow(state.m_runs, load.m_runs, step, UseAveragingSeconds);
     double budget = load.m_slots * settings.m_target * state.m_correction;
-    const bool sheds = sumOf(demand) > budget;
-    const double wanted = sheds ? neededCorrection(state, settings) : 1.0;
-    const Seconds time = !sheds           ? CorrectionFadeTime
-            : wanted > state.m_correction ? Seconds(settings.m_raiseTime)
-                                          : Seconds(settings.m_lowerTime);
-    state.m_correction += (wanted - state.m_correction) * std::min(1.0, step / time.count());
+    correct(state, settings, load.m_slots, sumOf(demand) > budget, step);
     if (state.m_use > settings.m_overloaded)
         budget *= settings.m_overloaded / state.m_use;
     for (std::size_t level = 0; level < demand.size(); ++level) {
@@ -100,7 +116,7 @@
         state.m_shares[level] = std::clamp(share, SmallestShare, 1.0);
         budget = std::max(0.0, budget - demand[level]);
     }
-    expectUse(state, load.m_slots, demand, step);
+    expectRuns(state, demand, step);
 }
 
 TreeDecision admitTree(TreeAdmission &admission, const std::string &route,
--- a/packages/traffic/treeadmission/treeadmission.h
+++ b/packages/traffic/treeadmission/treeadmission.h
@@ -45,12 +45,14 @@
     WorkByLevel m_shares{};
     /** Factor for the slots: below 1 if requests turn out to cost more than was estimated. */
     double m_correction = 1.0;
-    /** Use of the slots as reported, and as expected from what was admitted; both averaged. @{ */
+    /** Use of the slots as reported, averaged. */
     double m_use = 0.0;
-    double m_expectedUse = 0.0;
+    /** Runs as reported, and as expected from what was admitted; both averaged. @{ */
+    double m_runs = 0.0;
+    double m_expectedRuns = 0.0;
     /** @} */
-    /** Expected use before the delay with which admitted requests reach the service. */
-    double m_admittedUse = 0.0;
+    /** Expected runs before the delay with which admitted requests reach the service. */
+    double m_admittedRuns = 0.0;
     std::chrono::steady_clock::time_point m_updatedAt;
 
     ServiceAdmission() { m_shares.fill(1.0); }
--- a/tests/traffic/lineage_test.cpp
+++ b/tests/traffic/lineage_test.cpp
@@ -70,6 +70,7 @@
     std::poisson_distribution<int> downloads(2.0);
     std::poisson_distribution<int> indexes(2.0);
     CallProfile profile;
+    OpenCalls open;
     // Runs of both routes overlap; only those of "index" make calls, four each.
     for (int step = 0; step < 400; ++step) {
         const int downloading = downloads(random);
@@ -80,11 +81,11 @@
         if (indexing > 0)
             active["index"] = indexing;
         for (int call = 0; call < 4 * indexing; ++call)
-            recordUnassignedCall(profile, active, "grades");
-        for (int run = 0; run < downloading; ++run)
-            recordRun(profile, "download", 250ms);
-        for (int run = 0; run < indexing; ++run)
-            recordRun(profile, "index", 250ms);
+            recordUnassignedCall(open, profile, active, "grades");
+        for (int run = downloading; run > 0; --run)
+            recordRun(profile, "download", 250ms, takeOpenCalls(open, "download", run));
+        for (int run = indexing; run > 0; --run)
+            recordRun(profile, "index", 250ms, takeOpenCalls(open, "index", run));
     }
     const RouteProfile &index = profile.at("index");
     const RouteProfile &download = profile.at("download");
@@ -112,16 +113,17 @@
     constexpr int RunsPerSecond = 100;
     constexpr int Calls = 10;
     CallProfile profile;
-    // Each run lasts one second and makes its calls evenly.
+    OpenCalls open;
+    // Each run lasts one second and makes its calls evenly; it is not known which run makes a call.
     for (int tick = 0; tick < 4 * RunsPerSecond; ++tick) {
-        beginRun(profile, "lookup");
-        for (int call = 0; call < std::min(tick, RunsPerSecond); ++call) {
-            if (call % (RunsPerSecond / Calls) == 0)
-                recordNestedCall(profile, "lookup", "grades");
+        const int active = std::min(tick + 1, RunsPerSecond);
+        for (int age = 0; age < active; ++age) {
+            if (age % (RunsPerSecond / Calls) == 0)
+                recordUnassignedCall(open, profile, {{"lookup", active}}, "grades");
         }
         if (tick < RunsPerSecond)
             continue;
-        recordRun(profile, "lookup", 1s);
+        recordRun(profile, "lookup", 1s, takeOpenCalls(open, "lookup", active));
         if (tick < RunsPerSecond + 10)
             continue;
         const double calls = expectedRuns(profile, "lookup").at("grades").m_runs;
@@ -130,3 +132,15 @@
         CHECK(calls <= 1.15 * Calls);
     }
 }
+
+// Guards against calls that are counted for another run than the one that made them.
+TEST_CASE("Calls whose run is known count with that run")
+{
+    CallProfile profile;
+    for (int run = 0; run < 20; ++run) {
+        recordRun(profile, "lookup", 200ms, {{"grades", 8.0}});
+        recordRun(profile, "download", 200ms);
+    }
+    CHECK(expectedRuns(profile, "lookup").at("grades").m_runs == Approx(8.0));
+    CHECK_FALSE(expectedRuns(profile, "download").contains("grades"));
+}
--- a/tests/traffic/treeadmission_test.cpp
+++ b/tests/traffic/treeadmission_test.cpp
@@ -222,6 +222,40 @@
     }
 }
 
+// Guards against a correction that was raised while requests failed on their way to the service,
+// and admits everything once they arrive again.
+TEST_CASE("A service without runs does not make its requests look cheap")
+{
+    TreeAdmission admission;
+    WorkByLevel demand{};
+    demand[1] = 150.0;
+    TimePoint now = Start;
+    for (; now < Start + 10s; now += 100ms)
+        updateAdmission(admission, Deep, {100.0, 0.0}, demand, now);
+    const double admitted = demand[1] * admission.m_services[Deep].m_shares[1];
+    CHECK(admitted <= 100.0);
+}
+
+// Guards against a correction that stays too large because nothing is shed with it.
+TEST_CASE("A correction that admits too much is taken back within two seconds")
+{
+    TreeAdmission admission;
+    WorkByLevel demand{};
+    demand[1] = 150.0;
+    TimePoint now = Start;
+    // The runs are half of what is expected, as they are while a backend server refuses.
+    for (; now < Start + 10s; now += 100ms) {
+        const double admitted = demand[1] * admission.m_services[Deep].m_shares[1];
+        updateAdmission(admission, Deep, {100.0, admitted / 2}, demand, now);
+    }
+    CHECK(demand[1] * admission.m_services[Deep].m_shares[1] > 120.0);
+    for (; now < Start + 12s; now += 100ms) {
+        const double admitted = demand[1] * admission.m_services[Deep].m_shares[1];
+        updateAdmission(admission, Deep, {100.0, admitted}, demand, now);
+    }
+    CHECK(demand[1] * admission.m_services[Deep].m_shares[1] <= 110.0);
+}
+
 // Guards against one kind of request that gets less than others of the same importance.
 TEST_CASE("Equal importance is shed alike")
 {
