Lower the correction of costs slowly while load is shed

Cause: raised with 1.5 s and lowered with 0.5 s, the correction follows the lowest values of a use that swings. Change: 1.5 s and 4 s; a correction that hides that load has to be shed is still lowered with 0.5 s.

--- a/packages/traffic/treeadmission/treeadmission.cpp
+++ b/packages/traffic/treeadmission/treeadmission.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds LongestPause{1000};
 /** Time in which the correction returns to 1 while nothing is shed. */
 constexpr Seconds CorrectionFadeTime{10.0};
+/** Time in which a correction is lowered that hides that load has to be shed. */
+constexpr Seconds HiddenOverloadTime{0.5};
 constexpr double UseAveragingSeconds = 0.5;
 /** Time in which the calls of an admitted tree reach the service. */
 constexpr double ArrivalSeconds = 0.5;
@@ -62,14 +64,16 @@
     const double needed = known ? std::clamp(state.m_expectedRuns / runs,
                                              settings.m_leastCorrection, settings.m_mostCorrection)
                                 : std::min(state.m_correction, 1.0);
+    if (sheds) {
+        const Seconds time =
+                needed < state.m_correction ? settings.m_lowerTime : settings.m_raiseTime;
+        follow(state.m_correction, needed, step, time.count());
+        return;
+    }
     // A correction that is too large hides that load has to be shed.
-    const double wanted = sheds ? needed : std::max(needed, 1.0);
-    if (wanted < state.m_correction)
-        follow(state.m_correction, wanted, step, Seconds(settings.m_lowerTime).count());
-    else if (sheds)
-        follow(state.m_correction, wanted, step, Seconds(settings.m_raiseTime).count());
-    else
-        follow(state.m_correction, 1.0, step, CorrectionFadeTime.count());
+    const bool hides = std::max(needed, 1.0) < state.m_correction;
+    const Seconds time = hides ? HiddenOverloadTime : CorrectionFadeTime;
+    follow(state.m_correction, hides ? std::max(needed, 1.0) : 1.0, step, time.count());
 }
 
 std::size_t indexOf(int level)
--- a/packages/traffic/treeadmission/treeadmission.h
+++ b/packages/traffic/treeadmission/treeadmission.h
@@ -17,10 +17,11 @@
 {
     /** Part of a service's usable slots that admitted requests may ask for. */
     double m_target = 0.92;
-    /** Time constants with which the estimated costs are corrected while load is shed. Costs that
-     * are too low fail whole call trees and are corrected sooner. @{ */
+    /** Time constants with which the estimated costs are corrected. Use that swings for other
+     * reasons is followed slowly downwards: with 0.5 s the lowest of its values decided, and
+     * requests were turned away although there was room. @{ */
     std::chrono::milliseconds m_raiseTime{1500};
-    std::chrono::milliseconds m_lowerTime{500};
+    std::chrono::milliseconds m_lowerTime{4000};
     /** @} */
     /** Bounds of the correction. @{ */
     double m_leastCorrection = 0.5;
