--- a/packages/relay/control/noderegistry.cpp
+++ b/packages/relay/control/noderegistry.cpp
@@ -34,7 +34,7 @@
 {
     m_keepsDepartures = m_keepsDepartures && m_departed == departed;
     m_departed = std::move(departed);
-    // Until the own row is known it is compared with what it should hold anyway.
+    // Once the own row is known it is written anyway.
     if (m_knowsOwnRow)
         write();
 }
@@ -120,7 +120,7 @@
         return false;
     if (m_profile.empty())
         m_profile = node->m_profile;
-    // The callback asks for a write of the merged row, which the caller does if it is needed.
+    // The callback asks for a write of the merged row, which the caller does.
     m_writing = true;
     m_onOwnRow(*node);
     m_writing = false;
--- a/packages/relay/control/noderegistry.h
+++ b/packages/relay/control/noderegistry.h
@@ -23,7 +23,7 @@
     NodeRegistry(SharedStore &store, Mesh &mesh, TimerQueue &timers, BoundedLog &log,
                  std::mt19937_64 &random);
 
-    /** Reads the table and writes the row if needed; repeated until both have succeeded. */
+    /** Reads the table and writes the row; repeated until both have succeeded. */
     void start();
 
     /** Write the row again because what it holds has changed. @{ */
