--- a/packages/relay/control/backendwatch.cpp
+++ b/packages/relay/control/backendwatch.cpp
@@ -37,7 +37,7 @@
     };
 }
 
-void BackendWatch::handle(const std::shared_ptr<HttpSession> &session, HttpRequest request)
+void BackendWatch::handle(const std::shared_ptr<ServerExchange> &exchange, HttpRequest request)
 {
     AnnouncementMessage message = m_parser(request);
     const auto *named = std::get_if<traffic::InstanceAnnouncement>(&message);
@@ -49,7 +49,7 @@
                               {"target", std::string(request.target())},
                               {"reason", malformed->m_reason}},
                              std::chrono::steady_clock::now());
-        session->respond(makeResponse(malformed->m_status, malformed->m_reason + "\n"), false);
+        exchange->respond(makeResponse(malformed->m_status, malformed->m_reason + "\n"), false);
         return;
     }
     if (const auto *announcement = std::get_if<traffic::InstanceAnnouncement>(&message))
@@ -58,7 +58,7 @@
         departed(std::get<DepartureNotice>(message));
     HttpResponse response = makeResponse(200, "{}");
     response.set(boost::beast::http::field::content_type, "application/json");
-    session->respond(std::move(response), false);
+    exchange->respond(std::move(response), false);
 }
 
 void BackendWatch::restore(const std::vector<traffic::DepartedInstance> &departed)
--- a/packages/relay/control/backendwatch.h
+++ b/packages/relay/control/backendwatch.h
@@ -18,7 +18,7 @@
     BackendWatch(AnnouncementParser parser, LocalGate &gate, BoundedLog &log);
 
     /** Answers a request to the announcement listener. */
-    void handle(const std::shared_ptr<HttpSession> &session, HttpRequest request);
+    void handle(const std::shared_ptr<ServerExchange> &exchange, HttpRequest request);
 
     /** Takes over departures that were recorded before a restart. */
     void restore(const std::vector<traffic::DepartedInstance> &departed);
--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -29,10 +29,10 @@
 
 } // namespace
 
-EntryCall::EntryCall(EntryServices &services, std::shared_ptr<HttpSession> session,
+EntryCall::EntryCall(EntryServices &services, std::shared_ptr<ServerExchange> exchange,
                      EntryRequest request)
     : m_services(services)
-    , m_session(std::move(session))
+    , m_exchange(std::move(exchange))
     , m_entry(std::move(request))
 {
 }
@@ -40,7 +40,7 @@
 void EntryCall::start()
 {
     m_services.m_calls.insert(shared_from_this());
-    m_session->m_onAbandoned = [self = shared_from_this()] { self->abandoned(); };
+    m_exchange->m_onAbandoned = [self = shared_from_this()] { self->abandoned(); };
     m_deadlineTimer = m_services.m_timers.add(m_entry.m_deadline + DeadlineMargin,
                                               [self = shared_from_this()] {
                                                   self->m_deadlineTimer = 0;
@@ -294,7 +294,7 @@
         m_services.m_counters.m_latencies[m_entry.m_route->m_name].record(now
                                                                           - m_entry.m_arrivedAt);
     log(outcome, static_cast<int>(response.result_int()), reason, now);
-    m_session->respond(std::move(response), traffic::isStopping(m_services.m_stop));
+    m_exchange->respond(std::move(response), traffic::isStopping(m_services.m_stop));
 }
 
 void EntryCall::log(Outcome outcome, int status, const std::string &reason, TimePoint now)
--- a/packages/relay/entry/entrycall.h
+++ b/packages/relay/entry/entrycall.h
@@ -37,7 +37,8 @@
 class EntryCall : public std::enable_shared_from_this<EntryCall>
 {
 public:
-    EntryCall(EntryServices &services, std::shared_ptr<HttpSession> session, EntryRequest request);
+    EntryCall(EntryServices &services, std::shared_ptr<ServerExchange> exchange,
+              EntryRequest request);
 
     /** Sends the first attempt. */
     void start();
@@ -80,7 +81,7 @@
     bool isIdempotent() const;
 
     EntryServices &m_services;
-    std::shared_ptr<HttpSession> m_session;
+    std::shared_ptr<ServerExchange> m_exchange;
     EntryRequest m_entry;
     std::vector<std::string> m_tried;
     std::optional<Attempt> m_running;
--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -27,55 +27,54 @@
 {
 }
 
-void EntryHandler::handle(const std::shared_ptr<HttpSession> &session, HttpRequest request)
+void EntryHandler::handle(const std::shared_ptr<ServerExchange> &exchange, HttpRequest request)
 {
     const TimePoint now = std::chrono::steady_clock::now();
     EntryRequest entry;
     entry.m_request = std::move(request);
-    entry.m_arrivedAt = now;
+    entry.m_arrivedAt = exchange->receivedAt();
     entry.m_attempt = fieldValue(entry.m_request, m_services.m_settings.m_headers.m_attempt);
     entry.m_policy = m_services.m_policy.current();
     if (!entry.m_policy) {
-        refuse(session, std::move(entry), Outcome::RefusedUnavailable, 503, "no policy known yet",
+        refuse(exchange, std::move(entry), Outcome::RefusedUnavailable, 503, "no policy known yet",
                StartRetryAfter);
         return;
     }
     std::string problem;
     int status = 0;
     if (!identify(entry, problem, status)) {
-        refuse(session, std::move(entry), Outcome::RefusedPolicy, status, problem, {});
+        refuse(exchange, std::move(entry), Outcome::RefusedPolicy, status, problem, {});
         return;
     }
     const std::int64_t patience =
             parseNumber(fieldValue(entry.m_request, m_services.m_settings.m_headers.m_deadline));
-    entry.m_deadline = now + entry.m_route->m_timeout;
+    entry.m_deadline = entry.m_arrivedAt + entry.m_route->m_timeout;
     if (patience >= 0)
-        entry.m_deadline = std::min(entry.m_deadline, now + Milliseconds(patience));
+        entry.m_deadline = std::min(entry.m_deadline, entry.m_arrivedAt + Milliseconds(patience));
     findParent(entry);
-    if (!servesDuringStop(entry)) {
-        refuse(session, std::move(entry), Outcome::RefusedUnavailable, 503, "the node stops",
+    if (!servesDuringStop(entry, now)) {
+        refuse(exchange, std::move(entry), Outcome::RefusedUnavailable, 503, "the node stops",
                StoppingRetryAfter);
         return;
     }
     entry.m_deadline = std::min(entry.m_deadline, traffic::latestDeadline(m_services.m_stop));
-    charge(session, std::move(entry));
+    charge(exchange, std::move(entry));
 }
 
-bool EntryHandler::servesDuringStop(const EntryRequest &request) const
+bool EntryHandler::servesDuringStop(const EntryRequest &request, TimePoint now) const
 {
     if (!request.m_nested)
-        return traffic::servesCallers(m_services.m_stop, request.m_arrivedAt);
+        return traffic::servesCallers(m_services.m_stop, now);
     // Runs differ in length: twice the average covers most of them.
     constexpr double HoldMargin = 2.0;
     const std::chrono::duration<double> expected =
             request.m_route->m_targetLatency * m_services.m_settings.m_gate.m_nestedWaitShare
             + m_services.m_loads.expectedHold(request.m_route->m_name) * HoldMargin;
     // A call that expires before the process ends cannot be cut, however long it takes.
-    const std::chrono::nanoseconds longest = request.m_deadline - request.m_arrivedAt;
+    const std::chrono::nanoseconds longest = request.m_deadline - now;
     return traffic::servesNestedCall(
             m_services.m_stop,
-            std::min(std::chrono::duration_cast<std::chrono::nanoseconds>(expected), longest),
-            request.m_arrivedAt);
+            std::min(std::chrono::duration_cast<std::chrono::nanoseconds>(expected), longest), now);
 }
 
 void EntryHandler::tokensArrived()
@@ -83,22 +82,22 @@
     std::unordered_map<std::uint64_t, WaitingForTokens> waiting = std::exchange(m_waiting, {});
     const TimePoint now = std::chrono::steady_clock::now();
     for (auto &[number, entry] : waiting) {
-        if (entry.m_session->isClosed())
+        if (entry.m_exchange->isClosed())
             continue;
         if (traffic::takeToken(m_services.m_rates, entry.m_request.m_organisation, now)) {
             entry.m_request.m_charged = true;
-            admit(entry.m_session, std::move(entry.m_request));
+            admit(entry.m_exchange, std::move(entry.m_request));
         } else {
             m_waiting.emplace(number, std::move(entry));
         }
     }
 }
 
-void EntryHandler::refuse(const std::shared_ptr<HttpSession> &session, EntryRequest request,
+void EntryHandler::refuse(const std::shared_ptr<ServerExchange> &exchange, EntryRequest request,
                           Outcome outcome, int status, const std::string &reason,
                           std::chrono::milliseconds retryAfter)
 {
-    std::make_shared<EntryCall>(m_services, session, std::move(request))
+    std::make_shared<EntryCall>(m_services, exchange, std::move(request))
             ->refuse(outcome, status, reason, retryAfter);
 }
 
@@ -152,10 +151,10 @@
     m_services.m_gate.recordUnassignedCall(request.m_route->m_name);
 }
 
-void EntryHandler::charge(const std::shared_ptr<HttpSession> &session, EntryRequest request)
+void EntryHandler::charge(const std::shared_ptr<ServerExchange> &exchange, EntryRequest request)
 {
     if (request.m_organisation.empty()) {
-        admit(session, std::move(request));
+        admit(exchange, std::move(request));
         return;
     }
     const TimePoint now = std::chrono::steady_clock::now();
@@ -164,31 +163,32 @@
     askForTokens(request.m_organisation, !charged, now);
     if (charged) {
         request.m_charged = true;
-        admit(session, std::move(request));
+        admit(exchange, std::move(request));
         return;
     }
-    waitForTokens(session, std::move(request));
+    waitForTokens(exchange, std::move(request));
 }
 
-void EntryHandler::waitForTokens(const std::shared_ptr<HttpSession> &session, EntryRequest request)
+void EntryHandler::waitForTokens(const std::shared_ptr<ServerExchange> &exchange,
+                                 EntryRequest request)
 {
     if (m_services.m_rates.m_sharers.empty()) {
-        refuse(session, std::move(request), Outcome::RefusedUnavailable, 503,
+        refuse(exchange, std::move(request), Outcome::RefusedUnavailable, 503,
                "it is not known yet who shares the organisation's rate", StartRetryAfter);
         return;
     }
     if (m_waiting.size() >= MostWaitingForTokens || m_services.m_mesh.linkedPeers() == 0) {
-        refuseOverAllotment(session, std::move(request));
+        refuseOverAllotment(exchange, std::move(request));
         return;
     }
     const std::uint64_t number = ++m_lastWaiting;
     const TimePoint until = std::chrono::steady_clock::now() + TokenWait;
-    m_waiting.emplace(number, WaitingForTokens{session, std::move(request)});
+    m_waiting.emplace(number, WaitingForTokens{exchange, std::move(request)});
     askAgain(number);
     m_services.m_timers.add(until, [this, number] {
         auto node = m_waiting.extract(number);
-        if (!node.empty() && !node.mapped().m_session->isClosed())
-            refuseOverAllotment(node.mapped().m_session, std::move(node.mapped().m_request));
+        if (!node.empty() && !node.mapped().m_exchange->isClosed())
+            refuseOverAllotment(node.mapped().m_exchange, std::move(node.mapped().m_request));
     });
 }
 
@@ -213,14 +213,14 @@
                                         m_services.m_random());
 }
 
-void EntryHandler::refuseOverAllotment(const std::shared_ptr<HttpSession> &session,
+void EntryHandler::refuseOverAllotment(const std::shared_ptr<ServerExchange> &exchange,
                                        EntryRequest request)
 {
     logAllotment(request);
     const Milliseconds wait =
             std::max(ShortestAllotmentRetryAfter,
                      traffic::timeToToken(m_services.m_rates, request.m_organisation));
-    refuse(session, std::move(request), Outcome::RefusedAllotment, 429,
+    refuse(exchange, std::move(request), Outcome::RefusedAllotment, 429,
            "the organisation exceeds its allotment", wait);
 }
 
@@ -244,7 +244,7 @@
                             {"policy", std::to_string(m_services.m_policy.version())}});
 }
 
-void EntryHandler::admit(const std::shared_ptr<HttpSession> &session, EntryRequest request)
+void EntryHandler::admit(const std::shared_ptr<ServerExchange> &exchange, EntryRequest request)
 {
     request.m_service = traffic::chooseSplitPart(m_services.m_splits, *request.m_route);
     if (!request.m_nested) {
@@ -256,12 +256,12 @@
         if (!decision.m_admitted) {
             const Milliseconds delay = traffic::retryAfter(request.m_route->m_targetLatency,
                                                            decision.m_share, m_services.m_random);
-            refuse(session, std::move(request), Outcome::RefusedOverload, 503,
+            refuse(exchange, std::move(request), Outcome::RefusedOverload, 503,
                    "no room at service " + decision.m_service, delay);
             return;
         }
     }
-    std::make_shared<EntryCall>(m_services, session, std::move(request))->start();
+    std::make_shared<EntryCall>(m_services, exchange, std::move(request))->start();
 }
 
 } // namespace chervilmount::relay
--- a/packages/relay/entry/entryhandler.h
+++ b/packages/relay/entry/entryhandler.h
@@ -15,7 +15,7 @@
 public:
     explicit EntryHandler(EntryServices &services);
 
-    void handle(const std::shared_ptr<HttpSession> &session, HttpRequest request);
+    void handle(const std::shared_ptr<ServerExchange> &exchange, HttpRequest request);
 
     /** Tokens have arrived: requests that wait for them are decided again. */
     void tokensArrived();
@@ -25,22 +25,23 @@
 
     struct WaitingForTokens
     {
-        std::shared_ptr<HttpSession> m_session;
+        std::shared_ptr<ServerExchange> m_exchange;
         EntryRequest m_request;
     };
 
-    void refuse(const std::shared_ptr<HttpSession> &session, EntryRequest request, Outcome outcome,
-                int status, const std::string &reason, std::chrono::milliseconds retryAfter);
+    void refuse(const std::shared_ptr<ServerExchange> &exchange, EntryRequest request,
+                Outcome outcome, int status, const std::string &reason,
+                std::chrono::milliseconds retryAfter);
     bool identify(EntryRequest &request, std::string &problem, int &status);
     void findParent(EntryRequest &request);
-    bool servesDuringStop(const EntryRequest &request) const;
-    void charge(const std::shared_ptr<HttpSession> &session, EntryRequest request);
-    void waitForTokens(const std::shared_ptr<HttpSession> &session, EntryRequest request);
+    bool servesDuringStop(const EntryRequest &request, TimePoint now) const;
+    void charge(const std::shared_ptr<ServerExchange> &exchange, EntryRequest request);
+    void waitForTokens(const std::shared_ptr<ServerExchange> &exchange, EntryRequest request);
     void askAgain(std::uint64_t number);
     void askForTokens(const std::string &organisation, bool requestWaits, TimePoint now);
     void logAllotment(const EntryRequest &request);
-    void refuseOverAllotment(const std::shared_ptr<HttpSession> &session, EntryRequest request);
-    void admit(const std::shared_ptr<HttpSession> &session, EntryRequest request);
+    void refuseOverAllotment(const std::shared_ptr<ServerExchange> &exchange, EntryRequest request);
+    void admit(const std::shared_ptr<ServerExchange> &exchange, EntryRequest request);
 
     EntryServices &m_services;
     std::unordered_map<std::uint64_t, WaitingForTokens> m_waiting;
--- a/packages/relay/http/backendpool.cpp
+++ b/packages/relay/http/backendpool.cpp
@@ -8,11 +8,12 @@
 namespace chervilmount::relay {
 
 BackendPool::BackendPool(boost::asio::io_context &context, TimerQueue &timers, std::string idField,
-                         BackendPoolSettings settings)
+                         BackendPoolSettings settings, std::shared_ptr<BodyBudget> bodies)
     : m_context(context)
     , m_timers(timers)
     , m_idField(std::move(idField))
     , m_settings(settings)
+    , m_bodies(std::move(bodies))
 {
 }
 
@@ -39,7 +40,7 @@
     }
     ++m_connectionsMade;
     auto connection = std::make_shared<HttpClientConnection>(m_context, m_idField,
-                                                             m_settings.m_responseBytes);
+                                                             m_settings.m_responseBytes, m_bodies);
     connectUntil(m_timers, now + m_settings.m_connectTimeout, connection, m_endpoint,
                  [connection, callback = std::move(callback)](bool connected) {
                      callback(connected ? connection : nullptr);
--- a/packages/relay/http/backendpool.h
+++ b/packages/relay/http/backendpool.h
@@ -26,8 +26,9 @@
     /** Gets a connection, or nullptr if none could be made. */
     using ConnectionCallback = std::function<void(std::shared_ptr<HttpClientConnection>)>;
 
+    /** @param bodies bound of all bodies of the process. */
     BackendPool(boost::asio::io_context &context, TimerQueue &timers, std::string idField,
-                BackendPoolSettings settings);
+                BackendPoolSettings settings, std::shared_ptr<BodyBudget> bodies);
 
     /** Sets the backend server's address; idle connections to another address are closed.
      * @throws std::invalid_argument if the address is malformed. */
@@ -49,6 +50,7 @@
     TimerQueue &m_timers;
     std::string m_idField;
     BackendPoolSettings m_settings;
+    std::shared_ptr<BodyBudget> m_bodies;
     std::string m_address;
     boost::asio::ip::tcp::endpoint m_endpoint;
     std::vector<std::shared_ptr<HttpClientConnection>> m_idle;
--- a/packages/relay/http/httpclientconnection.cpp
+++ b/packages/relay/http/httpclientconnection.cpp
@@ -15,6 +15,11 @@
 
 constexpr std::size_t ReadBytes = 8192;
 constexpr std::uint32_t MaximumHeadBytes = 32U * 1024;
+/** Longest line between the chunks of a body. */
+constexpr std::size_t MaximumChunkLine = 4096;
+/** Interim responses, and late ones to earlier requests, that are skipped before one response. A
+ * backend server that sends them without end would keep the node busy until the deadline. */
+constexpr int MostSkippedResponses = 16;
 /** Idle time that is assumed if the backend server states none. */
 constexpr std::chrono::seconds DefaultIdleTime{8};
 /** A request that is sent this shortly before the idle timeout may meet the closing. */
@@ -38,10 +43,12 @@
 } // namespace
 
 HttpClientConnection::HttpClientConnection(boost::asio::io_context &context, std::string idField,
-                                           std::size_t maximumResponseBytes)
+                                           std::size_t maximumResponseBytes,
+                                           std::shared_ptr<BodyBudget> bodies)
     : m_socket(context)
     , m_idField(std::move(idField))
     , m_maximumResponseBytes(maximumResponseBytes)
+    , m_bodies(std::move(bodies))
 {
 }
 
@@ -70,6 +77,7 @@
     m_id = std::move(id);
     m_callback = std::move(callback);
     m_receivedBytes = false;
+    m_skippedResponses = 0;
     startResponse();
     m_writing = true;
     http::async_write(
@@ -130,7 +138,7 @@
         }
     }
     if (error) {
-        finish({ExchangeStatus::Broken, m_receivedBytes, {}});
+        finish({ExchangeStatus::Broken, m_receivedBytes, {}, {}});
         return;
     }
     m_receivedBytes = true;
@@ -143,7 +151,16 @@
     boost::system::error_code error;
     m_buffer.consume(m_parser->put(m_buffer.data(), error));
     if (error && error != http::error::need_more) {
-        finish({ExchangeStatus::Broken, true, {}});
+        broken(error.message());
+        return;
+    }
+    // The parser bounds the head and the body, but not the lines between chunks.
+    if (m_parser->is_header_done() && !m_parser->is_done() && m_buffer.size() > MaximumChunkLine) {
+        broken("the line before a chunk is too long");
+        return;
+    }
+    if (!m_body.resize(m_parser->get().body().size())) {
+        broken("no memory for the body of the response");
         return;
     }
     if (m_parser->is_done()) {
@@ -155,6 +172,7 @@
 
 void HttpClientConnection::startResponse()
 {
+    m_body = BodyShare(m_bodies);
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->header_limit(MaximumHeadBytes);
@@ -167,27 +185,45 @@
     const bool keepAlive = m_parser->keep_alive();
     HttpResponse response = m_parser->release();
     const std::string_view id = fieldValue(response, m_idField);
-    if (!m_id.empty() && !id.empty() && id != m_id) {
-        if (!keepAlive || !m_keepAlive) {
-            finish({ExchangeStatus::Broken, true, {}});
-            return;
-        }
-        startResponse();
-        if (m_buffer.size() > 0)
-            parse();
-        else
-            read();
+    // Not all interim responses (1xx) are known to the library by name.
+    const bool interim = response.result_int() / 100 == 1
+            && response.result() != http::status::switching_protocols;
+    if (interim || (!m_id.empty() && !id.empty() && id != m_id)) {
+        skipResponse(keepAlive);
         return;
     }
     m_keepAlive = m_keepAlive && keepAlive;
     m_idleUntil = std::chrono::steady_clock::now() + idleTime(response);
-    finish({ExchangeStatus::Answered, true, std::move(response)});
+    finish({ExchangeStatus::Answered, true, std::move(response), {}});
+}
+
+void HttpClientConnection::skipResponse(bool keepAlive)
+{
+    if (!keepAlive || !m_keepAlive) {
+        broken("the connection ends after the response to another request");
+        return;
+    }
+    if (++m_skippedResponses > MostSkippedResponses) {
+        broken("too many responses that belong to no request");
+        return;
+    }
+    startResponse();
+    if (m_buffer.size() > 0)
+        parse();
+    else
+        read();
+}
+
+void HttpClientConnection::broken(const std::string &problem)
+{
+    finish({ExchangeStatus::Broken, true, {}, problem});
 }
 
 void HttpClientConnection::finish(ExchangeResult result)
 {
     const Callback callback = std::exchange(m_callback, nullptr);
     m_parser.reset();
+    m_body = BodyShare();
     ++m_exchanges;
     const bool reusable = result.m_status == ExchangeStatus::Answered && m_keepAlive && !m_writing
             && m_buffer.size() == 0;
--- a/packages/relay/http/httpclientconnection.h
+++ b/packages/relay/http/httpclientconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/http/bodybudget.h"
 #include "relay/http/httpmessage.h"
 
 #include <boost/asio/io_context.hpp>
@@ -31,6 +32,8 @@
     /** Bytes of a response had arrived. */
     bool m_receivedBytes = false;
     HttpResponse m_response;
+    /** What was wrong with a broken exchange; empty if the connection just ended. */
+    std::string m_problem;
 };
 
 /** One HTTP connection to a server; runs one exchange at a time. */
@@ -43,9 +46,11 @@
     /**
      * @param idField header field in which responses repeat the request's identifier.
      * @param maximumResponseBytes longest accepted body.
+     * @param bodies bound of all bodies of the process; none for no bound.
      */
     HttpClientConnection(boost::asio::io_context &context, std::string idField,
-                         std::size_t maximumResponseBytes);
+                         std::size_t maximumResponseBytes,
+                         std::shared_ptr<BodyBudget> bodies = nullptr);
 
     /** Connects; the callback gets whether it succeeded. */
     void connect(const boost::asio::ip::tcp::endpoint &endpoint,
@@ -74,11 +79,16 @@
     void parse();
     void startResponse();
     void completeResponse();
+    void skipResponse(bool keepAlive);
+    void broken(const std::string &problem);
     void finish(ExchangeResult result);
 
     boost::asio::ip::tcp::socket m_socket;
     std::string m_idField;
     std::size_t m_maximumResponseBytes;
+    std::shared_ptr<BodyBudget> m_bodies;
+    /** Bytes of the body that is being read. */
+    BodyShare m_body;
     boost::beast::flat_buffer m_buffer;
     HttpRequest m_request;
     std::string m_id;
@@ -86,6 +96,8 @@
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     TimePoint m_idleUntil;
     int m_exchanges = 0;
+    /** Responses that did not belong to the request under way. */
+    int m_skippedResponses = 0;
     bool m_reading = false;
     bool m_writing = false;
     bool m_receivedBytes = false;
--- a/packages/relay/http/httpmessage.cpp
+++ b/packages/relay/http/httpmessage.cpp
@@ -16,16 +16,10 @@
 /** @returns whether a header field concerns only one connection and is not passed on. */
 bool isConnectionField(std::string_view name)
 {
-    constexpr std::array<std::string_view, 10> Names{"Connection",
-                                                     "Keep-Alive",
-                                                     "Proxy-Authenticate",
-                                                     "Proxy-Authorization",
-                                                     "Proxy-Connection",
-                                                     "TE",
-                                                     "Trailer",
-                                                     "Transfer-Encoding",
-                                                     "Upgrade",
-                                                     "Content-Length"};
+    constexpr std::array<std::string_view, 11> Names{
+            "Connection",       "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+            "Proxy-Connection", "TE",     "Trailer",    "Transfer-Encoding",  "Upgrade",
+            "Content-Length"};
     return std::any_of(Names.begin(), Names.end(), [name](std::string_view other) {
         return adapters::equalNames(name, other);
     });
--- a/packages/relay/http/httpserver.cpp
+++ b/packages/relay/http/httpserver.cpp
@@ -43,7 +43,7 @@
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
     for (const std::shared_ptr<HttpSession> &session : m_sessions)
-        session->close();
+        session->abort();
 }
 
 std::size_t HttpServer::busySessions() const
@@ -59,19 +59,19 @@
     if (m_accepting || !m_acceptor.is_open() || m_sessions.size() >= m_maximumSessions)
         return;
     m_accepting = true;
-    m_acceptor.async_accept(
-            [this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
-                if (error == boost::asio::error::operation_aborted)
-                    return;
-                m_accepting = false;
-                if (!error) {
-                    m_sessions.push_back(
-                            std::make_shared<HttpSession>(std::move(socket), m_limits, m_handler));
-                    m_sessions.back()->start(std::chrono::steady_clock::now());
-                    accept();
-                }
-                // After an error, e.g. no descriptor left, checkTimeouts() accepts again.
-            });
+    m_acceptor.async_accept([this](boost::system::error_code error,
+                                   boost::asio::ip::tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        m_accepting = false;
+        if (!error) {
+            m_sessions.push_back(std::make_shared<HttpSession>(std::move(socket), m_limits,
+                                                               m_sessionSettings, m_handler));
+            m_sessions.back()->start(std::chrono::steady_clock::now());
+            accept();
+        }
+        // After an error, e.g. no descriptor left, checkTimeouts() accepts again.
+    });
 }
 
 } // namespace chervilmount::relay
--- a/packages/relay/http/httpserver.h
+++ b/packages/relay/http/httpserver.h
@@ -34,13 +34,16 @@
     /** Bounds the open connections; further ones wait in the listener's queue. */
     void setMaximumSessions(std::size_t sessions) { m_maximumSessions = sessions; }
 
+    /** Sets the bounds of the connections that are accepted from now on. */
+    void setSessionSettings(const SessionSettings &settings) { m_sessionSettings = settings; }
+
     /** Ends idle sessions; to be called about every 500 ms. */
     void checkTimeouts(std::chrono::steady_clock::time_point now);
 
     /** Stops to listen and closes idle connections. */
     void close();
 
-    /** Stops to listen and closes all connections at once. */
+    /** Stops to listen and closes all connections at once; nobody is told. */
     void abort();
 
     /** @returns the number of sessions that read or handle a request. */
@@ -55,6 +58,7 @@
     const traffic::CallerLimits &m_limits;
     HttpHandler m_handler;
     std::size_t m_maximumSessions = 3000;
+    SessionSettings m_sessionSettings;
     bool m_accepting = false;
     std::list<std::shared_ptr<HttpSession>> m_sessions;
 };
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -38,12 +38,14 @@
 } // namespace
 
 LocalGate::LocalGate(boost::asio::io_context &context, TimerQueue &timers,
-                     const RelaySettings &settings, Counters &counters, BoundedLog &log)
+                     const RelaySettings &settings, Counters &counters, BoundedLog &log,
+                     std::shared_ptr<BodyBudget> bodies)
     : m_timers(timers)
     , m_settings(settings)
     , m_counters(counters)
     , m_log(log)
-    , m_pool(context, timers, settings.m_headers.m_attempt, settings.m_backendPool)
+    , m_pool(context, timers, settings.m_headers.m_attempt, settings.m_backendPool,
+             std::move(bodies))
 {
     m_gate.m_settings = settings.m_gate;
     m_pool.setAddress(settings.m_backendAddress);
@@ -308,6 +310,8 @@
         finish(number, judge(run, std::move(result.m_response)));
         return;
     }
+    if (!result.m_problem.empty())
+        logBrokenExchange(run, result.m_problem);
     // The backend server may have closed an idle connection just as the request was sent.
     const bool wasIdle = connection->hasBeenUsed() && !result.m_receivedBytes;
     if (wasIdle && run.m_call.m_idempotent && !run.m_resent) {
@@ -443,4 +447,16 @@
                  {"limit", std::to_string(traffic::gateLimit(m_gate))}});
 }
 
+void LocalGate::logBrokenExchange(const Run &run, const std::string &problem)
+{
+    m_log.writeIfAllowed(LogTopic::Run, adapters::LogLevel::Warn,
+                         {{"event", "response-rejected"},
+                          {"request", run.m_call.m_attempt},
+                          {"route", run.m_call.m_route},
+                          {"service", run.m_call.m_service},
+                          {"instance", m_instance ? m_instance->m_id : ""},
+                          {"problem", problem}},
+                         std::chrono::steady_clock::now());
+}
+
 } // namespace chervilmount::relay
--- a/packages/relay/inbound/localgate.h
+++ b/packages/relay/inbound/localgate.h
@@ -39,8 +39,9 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
+    /** @param bodies bound of all bodies of the process. */
     LocalGate(boost::asio::io_context &context, TimerQueue &timers, const RelaySettings &settings,
-              Counters &counters, BoundedLog &log);
+              Counters &counters, BoundedLog &log, std::shared_ptr<BodyBudget> bodies);
 
     /** Takes the backend server into use, or another one in its place. */
     void useInstance(const traffic::InstanceAnnouncement &instance);
@@ -119,6 +120,7 @@
     void startWaiting();
     void respond(Run &run, CallResult result);
     void logFailure(const Run &run, const Failure &failure);
+    void logBrokenExchange(const Run &run, const std::string &problem);
 
     TimerQueue &m_timers;
     const RelaySettings &m_settings;
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -58,8 +58,9 @@
     , m_random(seed)
     , m_timers(context)
     , m_log(m_counters.m_logLinesSuppressed)
+    , m_bodies(std::make_shared<BodyBudget>(BodyBudget{m_settings.m_bodyBytes, 0}))
     , m_policy(std::move(parsers.m_policy), m_log)
-    , m_gate(context, m_timers, m_settings, m_counters, m_log)
+    , m_gate(context, m_timers, m_settings, m_counters, m_log, m_bodies)
     , m_backend(std::move(parsers.m_announcement), m_gate, m_log)
     , m_mesh(context, m_timers, ownRecord(m_settings, startedAt), meshHandlers())
     , m_loads(m_settings.m_treeAdmission, m_gate)
@@ -81,25 +82,26 @@
     , m_entry(m_entryServices)
     , m_platformLimits(platformLimits())
     , m_callers(context, m_settings.m_callerAddress, m_callerLimits,
-                [this](const std::shared_ptr<HttpSession> &session, HttpRequest request) {
-                    m_entry.handle(session, std::move(request));
+                [this](const std::shared_ptr<ServerExchange> &exchange, HttpRequest request) {
+                    m_entry.handle(exchange, std::move(request));
                 })
     , m_readiness(context, m_settings.m_readinessAddress, m_platformLimits,
-                  [this](const std::shared_ptr<HttpSession> &session, const HttpRequest &request) {
-                      handleReadiness(session, request);
-                  })
+                  [this](const std::shared_ptr<ServerExchange> &exchange,
+                         const HttpRequest &request) { handleReadiness(exchange, request); })
     , m_announcements(context, m_settings.m_announcementAddress, m_platformLimits,
-                      [this](const std::shared_ptr<HttpSession> &session, HttpRequest request) {
-                          m_backend.handle(session, std::move(request));
+                      [this](const std::shared_ptr<ServerExchange> &exchange, HttpRequest request) {
+                          m_backend.handle(exchange, std::move(request));
                       })
 {
     m_callers.setMaximumSessions(m_settings.m_maximumSessions);
+    SessionSettings sessions;
+    sessions.m_bodies = m_bodies;
+    m_callers.setSessionSettings(sessions);
     if (!m_settings.m_metricsAddress.empty())
         m_metricsServer = std::make_unique<HttpServer>(
                 context, m_settings.m_metricsAddress, m_platformLimits,
-                [this](const std::shared_ptr<HttpSession> &session, const HttpRequest &request) {
-                    handleMetrics(session, request);
-                });
+                [this](const std::shared_ptr<ServerExchange> &exchange,
+                       const HttpRequest &request) { handleMetrics(exchange, request); });
     m_rates.m_settings = m_settings.m_rates;
     m_repeats.m_settings = m_settings.m_repeats;
     m_linkedAt = std::chrono::steady_clock::now();
@@ -243,23 +245,23 @@
     return handlers;
 }
 
-void RelayNode::handleReadiness(const std::shared_ptr<HttpSession> &session,
+void RelayNode::handleReadiness(const std::shared_ptr<ServerExchange> &exchange,
                                 const HttpRequest &request)
 {
     if (request.target() != m_settings.m_readinessPath) {
-        session->respond(makeResponse(404, "not found\n"), false);
+        exchange->respond(makeResponse(404, "not found\n"), false);
         return;
     }
     const bool ready = isReady();
-    session->respond(makeResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"), false);
+    exchange->respond(makeResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"), false);
 }
 
-void RelayNode::handleMetrics(const std::shared_ptr<HttpSession> &session,
+void RelayNode::handleMetrics(const std::shared_ptr<ServerExchange> &exchange,
                               const HttpRequest & /*request*/)
 {
     HttpResponse response = makeResponse(200, metrics());
     response.set(boost::beast::http::field::content_type, "text/plain; version=0.0.4");
-    session->respond(std::move(response), false);
+    exchange->respond(std::move(response), false);
 }
 
 void RelayNode::policyChanged()
--- a/packages/relay/runtime/relaynode.h
+++ b/packages/relay/runtime/relaynode.h
@@ -66,8 +66,9 @@
 
 private:
     MeshHandlers meshHandlers();
-    void handleReadiness(const std::shared_ptr<HttpSession> &session, const HttpRequest &request);
-    void handleMetrics(const std::shared_ptr<HttpSession> &session, const HttpRequest &request);
+    void handleReadiness(const std::shared_ptr<ServerExchange> &exchange,
+                         const HttpRequest &request);
+    void handleMetrics(const std::shared_ptr<ServerExchange> &exchange, const HttpRequest &request);
     void policyChanged();
     void policyAnnounced(const std::string &node, std::uint64_t version);
     void backendChanged();
@@ -90,6 +91,7 @@
     TimerQueue m_timers;
     Counters m_counters;
     BoundedLog m_log;
+    std::shared_ptr<BodyBudget> m_bodies;
     PolicyKeeper m_policy;
     LocalGate m_gate;
     BackendWatch m_backend;
--- a/packages/relay/runtime/relaysettings.h
+++ b/packages/relay/runtime/relaysettings.h
@@ -62,6 +62,8 @@
     /** Listener for metrics; none if empty. */
     std::string m_metricsAddress;
     std::size_t m_maximumSessions = 2500;
+    /** Bytes of requests' and responses' bodies that the node holds at once. */
+    std::size_t m_bodyBytes = 64UL * 1024 * 1024;
     HeaderNames m_headers;
     BackendPoolSettings m_backendPool;
     traffic::GateSettings m_gate;
--- a/tests/platform/standin/backend.cpp
+++ b/tests/platform/standin/backend.cpp
@@ -14,8 +14,8 @@
     , m_id(std::move(id))
     , m_service(std::move(service))
     , m_address(freeAddress(context))
-    , m_server(context, m_address, m_limits, [this](const Session &session, HttpRequest request) {
-        handle(session, std::move(request));
+    , m_server(context, m_address, m_limits, [this](const Exchange &exchange, HttpRequest request) {
+        handle(exchange, std::move(request));
     })
 {
 }
@@ -41,7 +41,7 @@
                           [&attempt](const BackendRun &run) { return run.m_attempt == attempt; }));
 }
 
-void Backend::handle(const Session &session, HttpRequest request)
+void Backend::handle(const Exchange &exchange, HttpRequest request)
 {
     ++m_arrivals;
     const std::string attempt(request["X-Chervilmount-Attempt-Id"]);
@@ -49,14 +49,14 @@
         HttpResponse response = makeResponse(200, "");
         response.set("X-Chervilmount-Instance-Id", m_id);
         response.set("X-Chervilmount-Server-Load", "0,0," + std::to_string(m_slots));
-        session->respond(std::move(response), false);
+        exchange->respond(std::move(response), false);
         return;
     }
     if (m_faults.m_refuses || request["X-Chervilmount-Expected-Instance"] != m_id) {
         HttpResponse response = makeResponse(m_faults.m_refuses ? 503 : 421, "");
         response.set("X-Chervilmount-Not-Executed", "1");
         response.set("X-Chervilmount-Attempt-Id", attempt);
-        session->respond(std::move(response), false);
+        exchange->respond(std::move(response), false);
         return;
     }
     const auto deadline = std::chrono::steady_clock::now()
@@ -65,21 +65,22 @@
     m_runs.push_back({attempt, std::move(request)});
     ++m_running;
     m_largestRunning = std::max(m_largestRunning, m_running);
-    session->m_onAbandoned = [this] { ++m_abandoned; };
+    exchange->m_onAbandoned = [this] { ++m_abandoned; };
     const auto end = std::chrono::steady_clock::now() + m_serviceTime;
     if (!m_faults.m_ignoresDeadline && deadline < end) {
-        m_timers.add(deadline, [this, session, attempt] { answer(session, attempt, 504); });
+        m_timers.add(deadline, [this, exchange, attempt] { answer(exchange, attempt, 504); });
         return;
     }
-    m_timers.add(end,
-                 [this, session, attempt, deadline] { callNested(session, attempt, 0, deadline); });
+    m_timers.add(end, [this, exchange, attempt, deadline] {
+        callNested(exchange, attempt, 0, deadline);
+    });
 }
 
-void Backend::callNested(const Session &session, const std::string &attempt, std::size_t next,
+void Backend::callNested(const Exchange &exchange, const std::string &attempt, std::size_t next,
                          std::chrono::steady_clock::time_point deadline)
 {
     if (next == m_nestedCalls.size()) {
-        answer(session, attempt, 200);
+        answer(exchange, attempt, 200);
         return;
     }
     const NestedCall &call = m_nestedCalls[next];
@@ -96,7 +97,7 @@
     m_connections.push_back(connection);
     connection->connect(parseEndpoint(call.m_address), [=, this](bool connected) mutable {
         if (!connected) {
-            answer(session, attempt, 500);
+            answer(exchange, attempt, 500);
             return;
         }
         connection->exchange(std::move(request), {}, [=, this](const ExchangeResult &result) {
@@ -104,14 +105,14 @@
                     && result.m_response.result() == http::status::ok;
             connection->close();
             if (succeeded)
-                callNested(session, attempt, next + 1, deadline);
+                callNested(exchange, attempt, next + 1, deadline);
             else
-                answer(session, attempt, 500);
+                answer(exchange, attempt, 500);
         });
     });
 }
 
-void Backend::answer(const Session &session, const std::string &attempt, int status)
+void Backend::answer(const Exchange &exchange, const std::string &attempt, int status)
 {
     --m_running;
     if (m_faults.m_losesAnswers)
@@ -120,7 +121,7 @@
         // A response without the proof, on a connection that ends.
         HttpResponse response = makeResponse(200, "cut");
         response.set("X-Chervilmount-Attempt-Id", attempt);
-        session->respond(std::move(response), true);
+        exchange->respond(std::move(response), true);
         return;
     }
     HttpResponse response =
@@ -129,5 +130,5 @@
     if (!m_faults.m_unsealed)
         response.set("X-Chervilmount-Server-Seal", "seal-" + m_id);
     response.set("X-Chervilmount-Server-Load", "0,0," + std::to_string(m_slots));
-    session->respond(std::move(response), false);
+    exchange->respond(std::move(response), false);
 }
--- a/tests/platform/standin/backend.h
+++ b/tests/platform/standin/backend.h
@@ -78,12 +78,12 @@
     int m_largestRunning = 0;
 
 private:
-    using Session = std::shared_ptr<chervilmount::relay::HttpSession>;
+    using Exchange = std::shared_ptr<chervilmount::relay::ServerExchange>;
 
-    void handle(const Session &session, chervilmount::relay::HttpRequest request);
-    void callNested(const Session &session, const std::string &attempt, std::size_t next,
+    void handle(const Exchange &exchange, chervilmount::relay::HttpRequest request);
+    void callNested(const Exchange &exchange, const std::string &attempt, std::size_t next,
                     std::chrono::steady_clock::time_point deadline);
-    void answer(const Session &session, const std::string &attempt, int status);
+    void answer(const Exchange &exchange, const std::string &attempt, int status);
 
     boost::asio::io_context &m_context;
     chervilmount::relay::TimerQueue m_timers;
--- a/tests/platform/standin/rowstore.cpp
+++ b/tests/platform/standin/rowstore.cpp
@@ -8,7 +8,6 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
-#include <unistd.h>
 
 using namespace chervilmount;
 using namespace chervilmount::relay;
@@ -33,29 +32,6 @@
 
 } // namespace
 
-std::string freeAddress(boost::asio::io_context &context)
-{
-    // Ports below those of outgoing connections and of the end-to-end tests, which begin at 20000;
-    // each test process begins elsewhere.
-    constexpr int FirstPort = 10000;
-    constexpr int PortsPerProcess = 100;
-    constexpr int Processes = 100;
-    static int s_next = FirstPort + (::getpid() % Processes) * PortsPerProcess;
-    for (;;) {
-        const int port = s_next++;
-        boost::asio::ip::tcp::acceptor acceptor(context);
-        const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(),
-                                                      static_cast<unsigned short>(port));
-        boost::system::error_code error;
-        acceptor.open(endpoint.protocol());
-        acceptor.bind(endpoint, error);
-        if (!error)
-            acceptor.listen(1, error);
-        if (!error)
-            return "127.0.0.1:" + std::to_string(port);
-    }
-}
-
 RowStore::RowStore(boost::asio::io_context &context)
     : m_context(context)
     , m_timers(context)
@@ -66,8 +42,8 @@
 {
     const std::string address = freeAddress(m_context);
     m_servers.emplace_back(m_context, address, m_limits,
-                           [this, address](const Session &session, const HttpRequest &request) {
-                               receive(address, session, request);
+                           [this, address](const Exchange &exchange, const HttpRequest &request) {
+                               receive(address, exchange, request);
                            });
     return address;
 }
@@ -91,7 +67,7 @@
     m_changes.clear();
     const std::list<Feed> feeds = std::exchange(m_feeds, {});
     for (const Feed &feed : feeds)
-        respond(feed.m_session, 410, {});
+        respond(feed.m_exchange, 410, {});
 }
 
 void RowStore::performHeldWrites()
@@ -100,24 +76,24 @@
         apply(json::parse(body).as_object());
 }
 
-void RowStore::receive(const std::string &address, const Session &session,
+void RowStore::receive(const std::string &address, const Exchange &exchange,
                        const HttpRequest &request)
 {
     const std::string target(request.target());
     ++m_calls[target.substr(0, target.find('?'))];
     if (m_faults.m_silent) {
-        m_silenced.push_back(session);
+        m_silenced.push_back(exchange);
         return;
     }
     if (m_faults.m_status != 0 || m_refusing.contains(address)) {
-        respond(session, m_faults.m_status != 0 ? m_faults.m_status : 503, {});
+        respond(exchange, m_faults.m_status != 0 ? m_faults.m_status : 503, {});
         return;
     }
     const bool writes = request.method() == boost::beast::http::verb::post;
     if (!withinRate(writes ? m_writeRate : m_readRate,
                     writes ? m_faults.m_writesPerSecond : m_faults.m_readsPerSecond)) {
         ++m_limited;
-        respond(session, 429, {});
+        respond(exchange, 429, {});
         return;
     }
     const auto now = std::chrono::steady_clock::now();
@@ -127,11 +103,12 @@
         time = std::max(time, m_writesUntil);
     }
     if (time <= now) {
-        handle(session, target, request.body());
+        handle(exchange, target, request.body());
         return;
     }
-    m_timers.add(time,
-                 [this, session, target, body = request.body()] { handle(session, target, body); });
+    m_timers.add(time, [this, exchange, target, body = request.body()] {
+        handle(exchange, target, body);
+    });
 }
 
 bool RowStore::withinRate(CallRate &rate, int perSecond)
@@ -142,32 +119,32 @@
     return ++rate.m_calls <= perSecond || perSecond == 0;
 }
 
-void RowStore::handle(const Session &session, const std::string &target, const std::string &body)
+void RowStore::handle(const Exchange &exchange, const std::string &target, const std::string &body)
 {
     const std::string path = target.substr(0, target.find('?'));
     if (path == "/rows-tx")
-        transact(session, body);
+        transact(exchange, body);
     else if (path == "/rows-get")
-        getRows(session, parseQuery(target));
+        getRows(exchange, parseQuery(target));
     else if (path == "/rows-feed")
-        feed(session, parseQuery(target));
+        feed(exchange, parseQuery(target));
     else
-        respond(session, 404, {});
+        respond(exchange, 404, {});
 }
 
-void RowStore::transact(const Session &session, const std::string &body)
+void RowStore::transact(const Exchange &exchange, const std::string &body)
 {
     if (m_faults.m_holdWrites) {
         m_heldWrites.push_back(body);
-        m_silenced.push_back(session);
+        m_silenced.push_back(exchange);
         return;
     }
     const json::object transaction = json::parse(body).as_object();
     if (apply(transaction)) {
         if (m_faults.m_loseWriteAnswers)
-            m_silenced.push_back(session);
+            m_silenced.push_back(exchange);
         else
-            respond(session, 200, {});
+            respond(exchange, 200, {});
         return;
     }
     json::array current;
@@ -177,7 +154,7 @@
         if (m_tables[table].contains(key))
             current.push_back(rowJson(table, key));
     }
-    respond(session, 412, {{"rows", std::move(current)}});
+    respond(exchange, 412, {{"rows", std::move(current)}});
 }
 
 bool RowStore::apply(const json::object &transaction)
@@ -198,7 +175,7 @@
     return true;
 }
 
-void RowStore::getRows(const Session &session, const std::map<std::string, std::string> &query)
+void RowStore::getRows(const Exchange &exchange, const std::map<std::string, std::string> &query)
 {
     const std::string table = query.at("table");
     const std::string from = query.contains("from") ? query.at("from") : "";
@@ -207,14 +184,14 @@
         if (key >= from)
             rows.push_back(rowJson(table, key));
     }
-    respond(session, 200, {{"rows", std::move(rows)}, {"truncated", false}});
+    respond(exchange, 200, {{"rows", std::move(rows)}, {"truncated", false}});
 }
 
-void RowStore::feed(const Session &session, const std::map<std::string, std::string> &query)
+void RowStore::feed(const Exchange &exchange, const std::map<std::string, std::string> &query)
 {
-    const Feed feed{session, query.at("table"), std::stoull(query.at("after"))};
+    const Feed feed{exchange, query.at("table"), std::stoull(query.at("after"))};
     if (feed.m_after < m_compacted) {
-        respond(session, 410, {});
+        respond(exchange, 410, {});
         return;
     }
     if (answerFeed(feed, false))
@@ -222,10 +199,11 @@
     m_feeds.push_back(feed);
     m_timers.add(std::chrono::steady_clock::now()
                          + std::chrono::milliseconds(std::stoll(query.at("wait_ms"))),
-                 [this, session] {
-                     const auto found = std::find_if(
-                             m_feeds.begin(), m_feeds.end(),
-                             [&session](const Feed &entry) { return entry.m_session == session; });
+                 [this, exchange] {
+                     const auto found = std::find_if(m_feeds.begin(), m_feeds.end(),
+                                                     [&exchange](const Feed &entry) {
+                                                         return entry.m_exchange == exchange;
+                                                     });
                      if (found == m_feeds.end())
                          return;
                      answerFeed(*found, true);
@@ -242,7 +220,7 @@
     }
     if (rows.empty() && !atOnce)
         return false;
-    respond(feed.m_session, 200, {{"rows", std::move(rows)}});
+    respond(feed.m_exchange, 200, {{"rows", std::move(rows)}});
     return true;
 }
 
@@ -268,11 +246,11 @@
             {"ver", row.m_version}};
 }
 
-void RowStore::respond(const Session &session, int status, json::object body)
+void RowStore::respond(const Exchange &exchange, int status, json::object body)
 {
     body["ver"] = m_version;
     body["now_s"] = 0;
     HttpResponse response = makeResponse(status, json::serialize(body));
     response.set(boost::beast::http::field::content_type, "application/json");
-    session->respond(std::move(response), false);
+    exchange->respond(std::move(response), false);
 }
--- a/tests/platform/standin/rowstore.h
+++ b/tests/platform/standin/rowstore.h
@@ -2,6 +2,7 @@
 
 #include "relay/http/httpserver.h"
 #include "relay/timers/timerqueue.h"
+#include "support/freeaddress.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json/value.hpp>
@@ -66,7 +67,7 @@
     /** @} */
 
 private:
-    using Session = std::shared_ptr<chervilmount::relay::HttpSession>;
+    using Exchange = std::shared_ptr<chervilmount::relay::ServerExchange>;
 
     struct Row
     {
@@ -83,7 +84,7 @@
 
     struct Feed
     {
-        Session m_session;
+        Exchange m_exchange;
         std::string m_table;
         std::uint64_t m_after = 0;
     };
@@ -95,19 +96,19 @@
         int m_calls = 0;
     };
 
-    void receive(const std::string &address, const Session &session,
+    void receive(const std::string &address, const Exchange &exchange,
                  const chervilmount::relay::HttpRequest &request);
-    void handle(const Session &session, const std::string &target, const std::string &body);
+    void handle(const Exchange &exchange, const std::string &target, const std::string &body);
     bool withinRate(CallRate &rate, int perSecond);
-    void transact(const Session &session, const std::string &body);
+    void transact(const Exchange &exchange, const std::string &body);
     /** @returns whether the conditions held and the entries were applied. */
     bool apply(const boost::json::object &transaction);
-    void getRows(const Session &session, const std::map<std::string, std::string> &query);
-    void feed(const Session &session, const std::map<std::string, std::string> &query);
+    void getRows(const Exchange &exchange, const std::map<std::string, std::string> &query);
+    void feed(const Exchange &exchange, const std::map<std::string, std::string> &query);
     bool answerFeed(const Feed &feed, bool atOnce);
     void write(const std::string &table, const std::string &key, const std::string &encoded);
     boost::json::object rowJson(const std::string &table, const std::string &key) const;
-    void respond(const Session &session, int status, boost::json::object body);
+    void respond(const Exchange &exchange, int status, boost::json::object body);
 
     boost::asio::io_context &m_context;
     chervilmount::relay::TimerQueue m_timers;
@@ -125,8 +126,5 @@
     std::uint64_t m_compacted = 0;
     std::list<Feed> m_feeds;
     /** Sessions that get no answer. */
-    std::list<Session> m_silenced;
+    std::list<Exchange> m_silenced;
 };
-
-/** @returns a loopback address with a port that is free at the moment. */
-std::string freeAddress(boost::asio::io_context &context);
--- /dev/null
+++ b/tests/relay/httpclient_test.cpp
@@ -0,0 +1,178 @@
+#include "relay/http/httpclientconnection.h"
+#include "relay/rawcaller.h"
+#include "support/freeaddress.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <optional>
+
+using namespace chervilmount::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A connection to a server whose bytes the test writes. */
+struct ClientCase
+{
+    boost::asio::io_context m_context;
+    std::string m_address = freeAddress(m_context);
+    boost::asio::ip::tcp::acceptor m_acceptor{m_context, parseEndpoint(m_address)};
+    std::shared_ptr<BodyBudget> m_bodies = std::make_shared<BodyBudget>(BodyBudget{100000, 0});
+    std::shared_ptr<HttpClientConnection> m_client =
+            std::make_shared<HttpClientConnection>(m_context, "Id", 1000000, m_bodies);
+    std::unique_ptr<RawCaller> m_server;
+    std::optional<ExchangeResult> m_result;
+
+    ClientCase()
+    {
+        bool connected = false;
+        m_acceptor.async_accept(
+                [this](boost::system::error_code, boost::asio::ip::tcp::socket socket) {
+                    m_server = std::make_unique<RawCaller>(std::move(socket));
+                });
+        m_client->connect(parseEndpoint(m_address), [&connected](bool) { connected = true; });
+        REQUIRE(runUntil(m_context, [&] { return connected && m_server; }));
+    }
+
+    ~ClientCase() { m_client->close(); }
+
+    void request(const std::string &id, const std::string &body = "")
+    {
+        HttpRequest request;
+        request.version(11);
+        request.method(boost::beast::http::verb::get);
+        request.target("/" + id);
+        request.body() = body;
+        request.prepare_payload();
+        m_result.reset();
+        m_client->exchange(std::move(request), id,
+                           [this](ExchangeResult result) { m_result = std::move(result); });
+    }
+
+    void awaitResult()
+    {
+        REQUIRE(runUntil(m_context, [this] { return m_result.has_value(); }));
+    }
+
+    /** Sends a beginning, then the same bytes until the client closes. @returns whether it did. */
+    bool sendsUntilClosed(const std::string &start, const std::string &bytes)
+    {
+        m_server->send(start);
+        std::string many;
+        while (many.size() < 2000)
+            many += bytes;
+        return runUntil(m_context, [&] {
+            m_server->trySend(many);
+            return m_server->m_closed || m_server->m_sendFailed;
+        });
+    }
+};
+
+std::string response(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+// Guards against a backend server in trouble that takes the memory or the processor time of the
+// node: whatever it sends without end, the exchange ends and the connection is closed.
+TEST_CASE("A response without end is broken off, whatever does not end in it")
+{
+    struct Endless
+    {
+        const char *m_start;
+        const char *m_bytes;
+    };
+    const Endless endless = GENERATE(
+            Endless{"", "no http "}, Endless{"HTTP/1.1 200 OK\r\n", "X-More: and more\r\n"},
+            Endless{"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+            Endless{"HTTP/1.1 200 OK\r\nId: a\r\n\r\n", "body until the end of the connection"},
+            Endless{"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 900000000\r\n\r\n", "x"},
+            Endless{"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 900000\r\n\r\n", "x"},
+            Endless{"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    "5\r\nabcde\r\n"},
+            Endless{"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5;extension=",
+                    "x"},
+            Endless{"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                    "X-Trailer: more\r\n"},
+            Endless{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+            Endless{"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n"});
+    CAPTURE(endless.m_start, endless.m_bytes);
+    ClientCase test;
+    test.request("a");
+    CHECK(test.sendsUntilClosed(endless.m_start, endless.m_bytes));
+    REQUIRE(test.m_result);
+    CHECK(test.m_result->m_status == ExchangeStatus::Broken);
+    CHECK(test.m_client->isClosed());
+    CHECK(test.m_bodies->m_used == 0);
+}
+
+// Guards against the answer to another request, sent twice or late, that reaches the next caller.
+TEST_CASE("A second copy of an answer does not answer the next request")
+{
+    ClientCase test;
+    test.request("a");
+    test.m_server->send(response("a", "first"));
+    test.awaitResult();
+    CHECK(test.m_result->m_response.body() == "first");
+    SECTION("it arrives after the next request was sent")
+    {
+        test.request("b");
+        test.m_server->send(response("a", "first") + response("b", "second"));
+        test.awaitResult();
+        REQUIRE(test.m_result->m_status == ExchangeStatus::Answered);
+        CHECK(test.m_result->m_response.body() == "second");
+    }
+    SECTION("it arrives while the connection is idle")
+    {
+        test.m_server->send(response("a", "first"));
+        CHECK(runUntil(test.m_context, [&test] { return test.m_client->isClosed(); }));
+        CHECK_FALSE(test.m_client->isReusable(std::chrono::steady_clock::now()));
+    }
+}
+
+// Guards against an interim response that is taken for the answer.
+TEST_CASE("Interim responses are skipped")
+{
+    ClientCase test;
+    test.request("a");
+    test.m_server->send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                        + response("a", "final"));
+    test.awaitResult();
+    REQUIRE(test.m_result->m_status == ExchangeStatus::Answered);
+    CHECK(test.m_result->m_response.body() == "final");
+}
+
+// Guards against an answer that broke off halfway and counts as whole.
+TEST_CASE("An answer that breaks off is broken")
+{
+    const std::string part = GENERATE(
+            as<std::string>(), "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\n01234",
+            "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n",
+            "HTTP/1.1 200 OK\r\nId: a\r\n", "HTTP/1.1 100 Continue\r\n\r\n");
+    CAPTURE(part);
+    ClientCase test;
+    test.request("a");
+    test.m_server->send(part);
+    test.m_server->close();
+    test.awaitResult();
+    CHECK(test.m_result->m_status == ExchangeStatus::Broken);
+}
+
+// Guards against the rest of a body that a later request is taken for: a backend server may answer
+// before it has read the body, and reads on.
+TEST_CASE("A connection whose request was answered before its body was sent is not used again")
+{
+    ClientCase test;
+    test.m_server->stopReading();
+    test.request("a", std::string(20UL * 1024 * 1024, 'x'));
+    test.m_server->send(response("a", "early"));
+    test.awaitResult();
+    CHECK(test.m_result->m_status == ExchangeStatus::Answered);
+    CHECK(test.m_result->m_response.body() == "early");
+    CHECK_FALSE(test.m_client->isReusable(std::chrono::steady_clock::now()));
+    CHECK(test.m_client->isClosed());
+}
