Serve uploads, and routes of a kind that the node does not know

Cause: a route's kind that a node did not know rejected the whole configuration, so that a node without an earlier version served nothing.

Change: uploads are once-only. An unknown kind is handled as once-only too, the strictest way, and the configuration in force carries a notice that each node logs (policy-notice).

--- a/packages/relay/control/policykeeper.cpp
+++ b/packages/relay/control/policykeeper.cpp
@@ -37,6 +37,12 @@
                           {"before", std::to_string(before)},
                           {"source", source}},
                          now);
+    for (const model::Finding &notice : m_current->policy().m_notices)
+        m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Warn,
+                             {{"event", "policy-notice"},
+                              {"version", std::to_string(document.m_version)},
+                              {"finding", model::toText(notice)}},
+                             now);
     if (m_onChanged)
         m_onChanged();
 }
--- a/packages/traffic/policy/trafficpolicy.h
+++ b/packages/traffic/policy/trafficpolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "model/configuration/route.h"
+#include "model/findings/finding.h"
 
 #include <chrono>
 #include <cstddef>
@@ -82,6 +83,8 @@
     /** Without organisations, requests need no key. */
     bool m_requiresKeys = false;
     CallerLimits m_limits;
+    /** Parts of the document that this node does not know and handles in the strictest way. */
+    model::Findings m_notices;
 };
 
 } // namespace chervilmount::traffic
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -105,6 +105,28 @@
     CHECK(policy.m_limits.m_idleTimeout == std::chrono::seconds{15});
 }
 
+// Guards against a node that serves nothing, since one row has a kind that it does not know, and
+// against requests of such a row that run twice.
+TEST_CASE("A route of an unknown kind is handled as once-only, with a notice")
+{
+    const auto parseKind = [](const std::string &kind) {
+        return platform::parsePolicyDocument(R"({"version":"r1",
+            "routes":{"columns":["name","host","prefix","kind","timeout_s","target_latency_s",
+                                 "max_attempts","service"],
+                      "rows":[["a","h.example","/a/",")"
+                                             + kind + R"(",1,1,2,"s1"]]},
+            "services":{"columns":["name"],"rows":[["s1"]]}})");
+    };
+    const traffic::TrafficPolicy unknown = parseKind("stream");
+    CHECK(unknown.m_routes[0].m_execution == model::Execution::OnceOnly);
+    REQUIRE(unknown.m_notices.size() == 1);
+    CHECK(unknown.m_notices[0].m_pointer == "/routes/rows/0/kind");
+    CHECK(unknown.m_notices[0].m_value == "stream");
+    const traffic::TrafficPolicy upload = parseKind("upload");
+    CHECK(upload.m_routes[0].m_execution == model::Execution::OnceOnly);
+    CHECK(upload.m_notices.empty());
+}
+
 // Guards against a document whose first fault hides the others.
 TEST_CASE("Every fault of a configuration is a finding")
 {
