--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -75,6 +75,7 @@
     traffic::Target own;
     if (m_services.m_gate.serves(m_entry.m_service)) {
         own.m_load = m_services.m_gate.load();
+        own.m_outlier = m_services.m_ownOutlier;
         targets.push_back(&own);
     }
     const std::optional<traffic::Placement> placement = traffic::choosePlacement(
@@ -182,9 +183,7 @@
 
 void EntryCall::answered(const std::string &node, Answer answer)
 {
-    m_services.m_mesh.recordAttempt(node, routing::AttemptResult::Success,
-                                    m_services.m_settings.m_placement.m_outlier,
-                                    std::chrono::steady_clock::now());
+    recordAttempt(node, routing::AttemptResult::Success, std::chrono::steady_clock::now());
     HttpResponse response = makeResponse(answer.m_status, std::move(answer.m_body));
     for (const HeaderField &field : answer.m_fields)
         response.insert(field.m_name, field.m_value);
@@ -198,9 +197,9 @@
     const TimePoint now = std::chrono::steady_clock::now();
     const bool counts = failure.m_reason == FailureReason::ServerRefused
             || failure.m_reason == FailureReason::Broken;
-    m_services.m_mesh.recordAttempt(
-            node, counts ? routing::AttemptResult::Failure : routing::AttemptResult::NotCounted,
-            m_services.m_settings.m_placement.m_outlier, now);
+    recordAttempt(node,
+                  counts ? routing::AttemptResult::Failure : routing::AttemptResult::NotCounted,
+                  now);
     m_mayHaveRun = m_mayHaveRun || !failure.m_notRun;
     if (failure.m_arrived)
         ++m_arrivals;
@@ -218,6 +217,15 @@
         refuseWithoutRoom(nameOf(failure.m_reason));
 }
 
+void EntryCall::recordAttempt(const std::string &node, routing::AttemptResult result, TimePoint now)
+{
+    const routing::OutlierSettings &settings = m_services.m_settings.m_placement.m_outlier;
+    if (!node.empty())
+        m_services.m_mesh.recordAttempt(node, result, settings, now);
+    else if (routing::recordAttempt(m_services.m_ownOutlier, settings, result))
+        routing::eject(m_services.m_ownOutlier, settings, now);
+}
+
 bool EntryCall::mayRepeat(const Failure &failure, TimePoint now)
 {
     if (!failure.m_notRun && !isIdempotent())
--- a/packages/relay/entry/entrycall.h
+++ b/packages/relay/entry/entrycall.h
@@ -68,6 +68,8 @@
     void ended(const std::string &node, CallResult result);
     void answered(const std::string &node, Answer answer);
     void failed(const std::string &node, const Failure &failure);
+    /** Takes the end of an attempt at a node, or at the own one if the name is empty. */
+    void recordAttempt(const std::string &node, routing::AttemptResult result, TimePoint now);
     bool mayRepeat(const Failure &failure, TimePoint now);
     void timedOut();
     void abandoned();
--- a/packages/relay/entry/entryservices.h
+++ b/packages/relay/entry/entryservices.h
@@ -8,6 +8,7 @@
 #include "relay/telemetry/boundedlog.h"
 #include "relay/telemetry/counters.h"
 #include "relay/timers/timerqueue.h"
+#include "routing/outlier/outlier.h"
 #include "traffic/allotment/rateshare.h"
 #include "traffic/retry/repeatbudget.h"
 #include "traffic/split/splitchooser.h"
@@ -38,6 +39,8 @@
     std::mt19937_64 &m_random;
     /** While it lasts, responses end their connections. */
     traffic::Stop m_stop;
+    /** Failures of the backend server beside the node; those of others are kept with their links. */
+    routing::OutlierState m_ownOutlier;
     /** Requests that have not ended. */
     std::unordered_set<std::shared_ptr<EntryCall>> m_calls;
 };
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -78,6 +78,7 @@
                       m_splits,
                       m_random,
                       {m_settings.m_stop, {}},
+                      {},
                       {}}
     , m_entry(m_entryServices)
     , m_platformLimits(platformLimits())
--- a/packages/relay/runtime/relaynode.h
+++ b/packages/relay/runtime/relaynode.h
@@ -58,6 +58,9 @@
     /** @returns whether callers should send requests to this node. */
     bool isReady() const;
 
+    /** @returns the bytes of requests' and responses' bodies that the node holds. */
+    std::size_t bodyBytes() const { return m_bodies->m_used; }
+
     /** @returns the metrics in the text exposition format. */
     std::string metrics() const;
 
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -233,3 +233,21 @@
     CHECK(run["X-Chervilmount-Caller-Service"] == "slipdesk");
     CHECK(run.count("X-Chervilmount-Tenant") == 0);
 }
+
+// Guards against callers that are refused although another backend server has room: the failures of
+// the backend server beside the entry node were not counted.
+TEST_CASE("A node leaves out its own backend server when that one fails again and again")
+{
+    Fleet fleet;
+    REQUIRE(fleet.startTwo());
+    FleetNode &failing = *fleet.m_nodes[0];
+    failing.m_backend->m_faults.m_refuses = true;
+    int served = 0;
+    for (int request = 0; request < 30; ++request) {
+        const std::string attempt = "a" + std::to_string(request);
+        served += fleet.request(failing, {}, attempt).m_status == 200 ? 1 : 0;
+    }
+    // Five failures in a row eject a backend server for a second.
+    CHECK(served >= 20);
+    CHECK(failing.m_backend->m_arrivals <= 10);
+}
