--- a/packages/relay/entry/entryservices.h
+++ b/packages/relay/entry/entryservices.h
@@ -39,7 +39,8 @@
     std::mt19937_64 &m_random;
     /** While it lasts, responses end their connections. */
     traffic::Stop m_stop;
-    /** Failures of the backend server beside the node; those of others are kept with their links. */
+    /** Failures of the backend server beside the node; those of others are kept with their links.
+     */
     routing::OutlierState m_ownOutlier;
     /** Requests that have not ended. */
     std::unordered_set<std::shared_ptr<EntryCall>> m_calls;
--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -3,6 +3,7 @@
 #include "relay/http/socketoptions.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace chervilmount::relay {
@@ -14,7 +15,7 @@
 /** Time between statuses; those to other regions use a narrow link that is paid by volume. */
 constexpr Milliseconds RegionStatusInterval{200};
 constexpr Milliseconds OtherRegionStatusInterval{1000};
-/** Statuses that may be missing until a node gets no new calls, and until its link is given up. */
+/** Statuses that may be missing until a node gets no new calls, and until its link is replaced. */
 constexpr int MissingUntilStale = 3;
 constexpr int MissingUntilLost = 5;
 constexpr Milliseconds LongestSilence{3500};
@@ -104,10 +105,19 @@
         const Milliseconds longest =
                 std::min(statusInterval(peer->m_record) * MissingUntilLost, LongestSilence);
         if (peer->m_link && now - peer->m_heardAt > longest)
-            loseLink(*peer, now);
+            retireLink(*peer, now);
         if (!peer->m_link && !peer->m_connecting && now >= peer->m_nextDial)
             dial(*peer, now);
     }
+    // The last call on a retired link may have been cancelled.
+    for (const auto &[node, peer] : m_peers) {
+        std::erase_if(peer->m_retired, [](const std::shared_ptr<RetiredLink> &retired) {
+            if (!retired->m_calls.empty())
+                return false;
+            retired->m_link->close();
+            return true;
+        });
+    }
     const std::list<std::shared_ptr<Session>> sessions = m_sessions;
     for (const std::shared_ptr<Session> &session : sessions) {
         if (session->m_greeted && now >= session->m_nextStatus)
@@ -144,9 +154,22 @@
 void Mesh::cancel(const std::string &node, std::uint64_t number)
 {
     Peer *peer = find(node);
-    if (peer == nullptr || peer->m_calls.erase(number) == 0 || !peer->m_link)
+    if (peer == nullptr)
         return;
-    peer->m_link->send(Cancel{number});
+    if (peer->m_calls.erase(number) > 0) {
+        if (peer->m_link)
+            peer->m_link->send(Cancel{number});
+        return;
+    }
+    const auto found = std::find_if(peer->m_retired.begin(), peer->m_retired.end(),
+                                    [number](const std::shared_ptr<RetiredLink> &retired) {
+                                        return retired->m_calls.contains(number);
+                                    });
+    if (found == peer->m_retired.end())
+        return;
+    const std::shared_ptr<RetiredLink> retired = *found;
+    retired->m_calls.erase(number);
+    retired->m_link->send(Cancel{number});
 }
 
 void Mesh::recordAttempt(const std::string &node, routing::AttemptResult result,
@@ -200,6 +223,8 @@
     for (const auto &[node, peer] : m_peers) {
         if (peer->m_link)
             peer->m_link->close();
+        for (const std::shared_ptr<RetiredLink> &retired : peer->m_retired)
+            retired->m_link->close();
     }
     for (const std::shared_ptr<Session> &session : m_sessions)
         session->m_link->close();
@@ -403,16 +428,74 @@
     if (!peer.m_link)
         return;
     peer.m_link->close();
+    const std::unordered_map<std::uint64_t, CallResponder> calls = std::move(peer.m_calls);
+    forgetLink(peer, now);
+    for (const auto &[number, responder] : calls)
+        responder(Failure{number, false, true, FailureReason::LinkLost, {}});
+}
+
+void Mesh::retireLink(Peer &peer, TimePoint now)
+{
+    if (peer.m_calls.empty()) {
+        loseLink(peer, now);
+        return;
+    }
+    const auto retired = std::make_shared<RetiredLink>();
+    retired->m_link = peer.m_link;
+    retired->m_calls = std::move(peer.m_calls);
+    Peer *pointer = &peer;
+    const std::weak_ptr<RetiredLink> weak = retired;
+    retired->m_link->m_onFrame = [this, pointer, weak](Frame frame) {
+        if (const std::shared_ptr<RetiredLink> link = weak.lock())
+            receiveLate(*pointer, link, std::move(frame));
+    };
+    retired->m_link->m_onClosed = [pointer, weak] {
+        if (const std::shared_ptr<RetiredLink> link = weak.lock())
+            endRetired(*pointer, link);
+    };
+    peer.m_retired.push_back(retired);
+    forgetLink(peer, now);
+}
+
+void Mesh::receiveLate(Peer &peer, const std::shared_ptr<RetiredLink> &retired, Frame frame)
+{
+    std::uint64_t number = 0;
+    std::optional<CallResult> result;
+    if (Answer *answer = std::get_if<Answer>(&frame)) {
+        number = answer->m_id;
+        result = std::move(*answer);
+    } else if (const Failure *failure = std::get_if<Failure>(&frame)) {
+        number = failure->m_id;
+        result = *failure;
+    }
+    if (result) {
+        auto call = retired->m_calls.extract(number);
+        if (!call.empty())
+            call.mapped()(std::move(*result));
+    }
+    if (retired->m_calls.empty())
+        endRetired(peer, retired);
+}
+
+void Mesh::endRetired(Peer &peer, const std::shared_ptr<RetiredLink> &retired)
+{
+    const std::shared_ptr<RetiredLink> kept = retired;
+    kept->m_link->close();
+    peer.m_retired.remove(kept);
+    const std::unordered_map<std::uint64_t, CallResponder> calls = std::move(kept->m_calls);
+    for (const auto &[number, responder] : calls)
+        responder(Failure{number, false, true, FailureReason::LinkLost, {}});
+}
+
+void Mesh::forgetLink(Peer &peer, TimePoint now)
+{
     peer.m_link = nullptr;
+    peer.m_calls.clear();
     const bool wasGreeted = std::exchange(peer.m_greeted, false);
     peer.m_lostAt = now;
     peer.m_nextDial = now + FirstRedialDelay;
-    const std::unordered_map<std::uint64_t, CallResponder> calls = std::move(peer.m_calls);
-    peer.m_calls.clear();
     if (wasGreeted)
         m_handlers.m_onLink(peer.m_record, false);
-    for (const auto &[number, responder] : calls)
-        responder(Failure{number, false, true, FailureReason::LinkLost, {}});
 }
 
 std::size_t Mesh::linksWithUnsentAnswers() const
--- a/packages/relay/link/mesh.h
+++ b/packages/relay/link/mesh.h
@@ -41,6 +41,14 @@
     std::function<void(const NodeRecord &, bool linked)> m_onLink;
 };
 
+/** A link that has gone silent while calls ran at the other node. It carries nothing new; the calls
+ * end on it, as long as the connection lasts. */
+struct RetiredLink
+{
+    std::shared_ptr<FrameConnection> m_link;
+    std::unordered_map<std::uint64_t, CallResponder> m_calls;
+};
+
 /** Another node and the link on which this node sends it calls. */
 struct Peer
 {
@@ -62,6 +70,7 @@
     traffic::Demand m_demand;
     /** Calls that wait for an answer. */
     std::unordered_map<std::uint64_t, CallResponder> m_calls;
+    std::list<std::shared_ptr<RetiredLink>> m_retired;
 };
 
 /**
@@ -99,7 +108,7 @@
 
     const NodeRecord &self() const { return m_self; }
 
-    /** Dials, gives up silent links and sends statuses; to be called every 100 ms. */
+    /** Dials, replaces silent links and sends statuses; to be called every 100 ms. */
     void tick(TimePoint now);
 
     /** @returns the linked nodes with a usable backend server of the service. */
@@ -161,7 +170,13 @@
     void linked(Peer &peer, boost::asio::ip::tcp::socket socket);
     void receive(Peer &peer, Frame frame);
     void answered(Peer &peer, std::uint64_t id, CallResult result);
+    /** The link has ended: its calls have, too. */
     void loseLink(Peer &peer, TimePoint now);
+    /** The other node is silent: new calls go elsewhere, those that run there go on. */
+    void retireLink(Peer &peer, TimePoint now);
+    void receiveLate(Peer &peer, const std::shared_ptr<RetiredLink> &retired, Frame frame);
+    static void endRetired(Peer &peer, const std::shared_ptr<RetiredLink> &retired);
+    void forgetLink(Peer &peer, TimePoint now);
     std::chrono::milliseconds statusInterval(const NodeRecord &other) const;
     Peer *find(const std::string &node);
     void place(Peer &peer) const;
