--- a/tests/platform/lifecycle_test.cpp
+++ b/tests/platform/lifecycle_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -407,3 +409,61 @@
     }
     CHECK(fleet.settle());
 }
+
+// Guards against a node that serves nothing, at its first start or from a later version on, since
+// one route is of a kind that it does not know.
+TEST_CASE("A route of an unknown kind keeps no node from serving the other routes")
+{
+    constexpr const char *Routes =
+            R"(["slip-lookup","slips.example","/slips/","idempotent",1.2,1.0,2,null,2,false,"slipdesk"],
+               ["live-view","slips.example","/live/","stream",1.2,1.0,2,null,2,false,"slipdesk"])";
+    Fleet fleet;
+    FleetNode &node = fleet.addNode("n1", "slipdesk");
+    fleet.configure(1, Routes);
+    REQUIRE(fleet.runUntil([&node] { return node.m_node->policyVersion() == 1; }));
+    fleet.announce(node);
+    REQUIRE(fleet.settle());
+    CHECK(fleet.request(node, {}, "known").m_status == 200);
+    CallerRequest unknown;
+    unknown.m_target = "/live/1";
+    CHECK(fleet.request(node, unknown, "unknown").m_status == 200);
+    node.m_backend->m_faults.m_resets = true;
+    CHECK(fleet.request(node, unknown, "lost").m_status == 502);
+    CHECK(node.m_backend->runs("lost") == 1);
+    node.m_backend->m_faults.m_resets = false;
+    fleet.configure(2, Routes);
+    CHECK(fleet.runUntil([&node] { return node.m_node->policyVersion() == 2; }));
+    CHECK(fleet.request(node, {}, "later").m_status == 200);
+}
+
+// Guards against a key that is in use again after a restart, although it was withdrawn before.
+TEST_CASE(
+        "A withdrawn key stays withdrawn at a node that starts anew while the store turns it away")
+{
+    Fleet fleet;
+    REQUIRE(fleet.startTwo());
+    CallerRequest request;
+    request.m_key = "key-large";
+    CHECK(fleet.request(*fleet.m_nodes[1], request, "before").m_status == 200);
+    std::string document = fleet.m_store.value("op", "config");
+    document.replace(document.find("key-large"), 9, "key-other");
+    document.replace(document.find("\"r1\""), 4, "\"r2\"");
+    fleet.m_store.put("op", "config", document);
+    REQUIRE(fleet.runUntil([&fleet] {
+        return fleet.m_nodes[0]->m_node->policyVersion() == 2
+                && fleet.m_nodes[1]->m_node->policyVersion() == 2;
+    }));
+    FleetNode &restarted = *fleet.m_nodes[1];
+    fleet.kill(restarted);
+    fleet.m_store.m_refusing.insert(restarted.m_settings.m_store.m_address);
+    fleet.restart(restarted);
+    const auto end = std::chrono::steady_clock::now() + 2s;
+    std::set<int> statuses;
+    for (int number = 0; std::chrono::steady_clock::now() < end; ++number)
+        statuses.insert(
+                fleet.request(restarted, request, "after" + std::to_string(number)).m_status);
+    // Before it knows a configuration it refuses everything as not run.
+    statuses.erase(503);
+    CHECK(statuses == std::set<int>{401});
+    CHECK(restarted.m_node->policyVersion() == 2);
+}
