--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -479,10 +479,9 @@
 
 void Mesh::endRetired(Peer &peer, const std::shared_ptr<RetiredLink> &retired)
 {
-    const std::shared_ptr<RetiredLink> kept = retired;
-    kept->m_link->close();
-    peer.m_retired.remove(kept);
-    const std::unordered_map<std::uint64_t, CallResponder> calls = std::move(kept->m_calls);
+    retired->m_link->close();
+    peer.m_retired.remove(retired);
+    const std::unordered_map<std::uint64_t, CallResponder> calls = std::move(retired->m_calls);
     for (const auto &[number, responder] : calls)
         responder(Failure{number, false, true, FailureReason::LinkLost, {}});
 }
--- a/packages/relay/link/mesh.h
+++ b/packages/relay/link/mesh.h
@@ -175,6 +175,7 @@
     /** The other node is silent: new calls go elsewhere, those that run there go on. */
     void retireLink(Peer &peer, TimePoint now);
     void receiveLate(Peer &peer, const std::shared_ptr<RetiredLink> &retired, Frame frame);
+    /** @param retired not the one in the peer's list, which this call removes. */
     static void endRetired(Peer &peer, const std::shared_ptr<RetiredLink> &retired);
     void forgetLink(Peer &peer, TimePoint now);
     std::chrono::milliseconds statusInterval(const NodeRecord &other) const;
