Hold a departure without a start for every start before it

It did not know the start either and recorded 0, so that an announcement of that start which came 3.2 s later took the backend server into use again (its log: start at 4.23 s, departure acknowledged at 4.47 s, effect=usable sequence=12 at 7.65 s, a request sent there at 7.71 s). The same happened after a status check, which states no start.

Change: such a departure holds for every start up to the present wall-clock time, which is that of the same machine. A later start under the same name can be used. Ruled out: a restart of the node in between (none in its log), a queue (the request arrived at 7.70 s).

Measured: the new test fails with 0 recorded (announcement taken, usable) and passes now; the other tests of the register pass.

--- a/packages/relay/control/backendwatch.cpp
+++ b/packages/relay/control/backendwatch.cpp
@@ -88,7 +88,10 @@
 
 void BackendWatch::departed(const DepartureNotice &notice)
 {
-    apply(traffic::depart(m_instances, notice.m_id, notice.m_startedAt), notice.m_id);
+    // Backend servers state their starts in wall-clock time of the same machine.
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+    apply(traffic::depart(m_instances, notice.m_id, notice.m_startedAt, now), notice.m_id);
     if (m_onDeparted)
         m_onDeparted();
 }
--- a/packages/traffic/instance/instanceregister.cpp
+++ b/packages/traffic/instance/instanceregister.cpp
@@ -80,11 +80,15 @@
 }
 
 AnnouncementEffect depart(InstanceRegister &instances, const std::string &id,
-                          std::chrono::milliseconds startedAt)
+                          std::chrono::milliseconds startedAt, std::chrono::milliseconds now)
 {
-    if (startedAt.count() == 0 && instances.m_current && instances.m_current->m_id == id)
-        startedAt = instances.m_current->m_startedAt;
-    return leave(instances, id, startedAt);
+    if (startedAt.count() != 0)
+        return leave(instances, id, startedAt);
+    const bool isKnown = instances.m_current && instances.m_current->m_id == id
+            && instances.m_current->m_startedAt.count() != 0;
+    // A node that has just started may not know the start of the backend server, whose earlier
+    // messages can still arrive: the departure holds for every start up to now.
+    return leave(instances, id, isKnown ? instances.m_current->m_startedAt : now);
 }
 
 void restoreDepartures(InstanceRegister &instances, const std::vector<DepartedInstance> &departed)
--- a/packages/traffic/instance/instanceregister.h
+++ b/packages/traffic/instance/instanceregister.h
@@ -66,9 +66,10 @@
 /**
  * Takes the message that a backend server leaves.
  * @param startedAt its start if the message says it, otherwise 0 for the start that is known.
+ * @param now wall-clock time.
  */
 AnnouncementEffect depart(InstanceRegister &instances, const std::string &id,
-                          std::chrono::milliseconds startedAt);
+                          std::chrono::milliseconds startedAt, std::chrono::milliseconds now);
 
 /** Takes over departures that were recorded before a restart of this node. */
 void restoreDepartures(InstanceRegister &instances, const std::vector<DepartedInstance> &departed);
--- a/tests/traffic/instance_test.cpp
+++ b/tests/traffic/instance_test.cpp
@@ -43,12 +43,12 @@
 {
     InstanceRegister instances;
     announce(instances, announcement("a", 1s, 7));
-    CHECK(depart(instances, "a", 0ms) == AnnouncementEffect::Leaving);
+    CHECK(depart(instances, "a", 0ms, 100s) == AnnouncementEffect::Leaving);
     CHECK(announce(instances, announcement("a", 2s, 1)) == AnnouncementEffect::Changed);
     CHECK(instances.m_usable);
     // The earlier start's messages are still on their way.
     CHECK(announce(instances, announcement("a", 1s, 9)) == AnnouncementEffect::Ignored);
-    CHECK(depart(instances, "a", 1s) == AnnouncementEffect::Ignored);
+    CHECK(depart(instances, "a", 1s, 100s) == AnnouncementEffect::Ignored);
     CHECK(instances.m_usable);
 }
 
@@ -68,7 +68,7 @@
 {
     InstanceRegister before;
     announce(before, announcement("a", 1s, 1));
-    depart(before, "a", 0ms);
+    depart(before, "a", 0ms, 100s);
     InstanceRegister after;
     restoreDepartures(after, departures(before));
     CHECK(announce(after, announcement("a", 1s, 2)) == AnnouncementEffect::Ignored);
@@ -83,3 +83,20 @@
     restoreDepartures(instances, {{"a", 1s}});
     CHECK_FALSE(instances.m_usable);
 }
+
+// Guards against a backend server that is used again after its departure was acknowledged by a node
+// that had just started: the message did not say which start leaves, and an earlier announcement
+// arrived late.
+TEST_CASE("A departure without a start holds for every start before it")
+{
+    InstanceRegister instances;
+    const bool isFoundByStatusCheck = GENERATE(false, true);
+    if (isFoundByStatusCheck)
+        announce(instances, announcement("a", 0ms, 0));
+    depart(instances, "a", 0ms, 100s);
+    CHECK_FALSE(instances.m_usable);
+    CHECK(announce(instances, announcement("a", 90s, 12)) == AnnouncementEffect::Ignored);
+    CHECK_FALSE(instances.m_usable);
+    // The same name may be used by a later start.
+    CHECK(announce(instances, announcement("a", 101s, 1)) == AnnouncementEffect::Changed);
+}
