Share the bound on chunk lines and the end of a lost link's calls

Callers' sessions and connections to backend servers had the same constant and check for the line before a chunk; links that are lost and those that are retired ended their calls with the same loop. Each stands once now.

--- a/packages/relay/http/httpclientconnection.cpp
+++ b/packages/relay/http/httpclientconnection.cpp
@@ -1,5 +1,6 @@
 #include "relay/http/httpclientconnection.h"
 
+#include "relay/http/chunkline.h"
 #include "relay/http/socketoptions.h"
 
 #include <boost/beast/http/error.hpp>
@@ -15,8 +16,6 @@
 
 constexpr std::size_t ReadBytes = 8192;
 constexpr std::uint32_t MaximumHeadBytes = 32U * 1024;
-/** Longest line between the chunks of a body. */
-constexpr std::size_t MaximumChunkLine = 4096;
 /** Interim responses, and late ones to earlier requests, that are skipped before one response. A
  * backend server that sends them without end would keep the node busy until the deadline. */
 constexpr int MostSkippedResponses = 16;
@@ -154,8 +153,7 @@
         broken(error.message());
         return;
     }
-    // The parser bounds the head and the body, but not the lines between chunks.
-    if (m_parser->is_header_done() && !m_parser->is_done() && m_buffer.size() > MaximumChunkLine) {
+    if (hasTooLongChunkLine(*m_parser, m_buffer.size())) {
         broken("the line before a chunk is too long");
         return;
     }
--- a/packages/relay/http/httpsession.cpp
+++ b/packages/relay/http/httpsession.cpp
@@ -1,5 +1,6 @@
 #include "relay/http/httpsession.h"
 
+#include "relay/http/chunkline.h"
 #include "relay/http/socketoptions.h"
 
 #include <boost/asio/buffer.hpp>
@@ -22,8 +23,6 @@
 constexpr std::chrono::milliseconds IdleMargin{1000};
 /** Longest time for the body of a request, however steadily it arrives. */
 constexpr std::chrono::seconds LongestBodyTime{60};
-/** Longest line between the chunks of a body. */
-constexpr std::size_t MaximumChunkLine = 4096;
 /** When callers return whose bodies found no memory. */
 constexpr std::string_view NoMemoryRetryAfter = "0.5";
 
@@ -246,8 +245,7 @@
         m_parser.reset();
         return true;
     }
-    // The parser bounds the head and the body, but not the lines between chunks.
-    if (m_parser->is_header_done() && m_unparsed.size() > MaximumChunkLine) {
+    if (hasTooLongChunkLine(*m_parser, m_unparsed.size())) {
         reject(makeResponse(400, "the line before a chunk is too long\n"));
         return false;
     }
--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -34,6 +34,13 @@
  * that time says nothing about them. */
 constexpr Milliseconds PauseGap{600};
 
+/** Ends calls whose link has ended; they may have run. */
+void failCalls(const std::unordered_map<std::uint64_t, CallResponder> &calls)
+{
+    for (const auto &[number, responder] : calls)
+        responder(Failure{number, false, true, FailureReason::LinkLost, {}});
+}
+
 } // namespace
 
 Mesh::Mesh(boost::asio::io_context &context, TimerQueue &timers, NodeRecord self,
@@ -430,8 +437,7 @@
     peer.m_link->close();
     const std::unordered_map<std::uint64_t, CallResponder> calls = std::move(peer.m_calls);
     forgetLink(peer, now);
-    for (const auto &[number, responder] : calls)
-        responder(Failure{number, false, true, FailureReason::LinkLost, {}});
+    failCalls(calls);
 }
 
 void Mesh::retireLink(Peer &peer, TimePoint now)
@@ -482,8 +488,7 @@
     retired->m_link->close();
     peer.m_retired.remove(retired);
     const std::unordered_map<std::uint64_t, CallResponder> calls = std::move(retired->m_calls);
-    for (const auto &[number, responder] : calls)
-        responder(Failure{number, false, true, FailureReason::LinkLost, {}});
+    failCalls(calls);
 }
 
 void Mesh::forgetLink(Peer &peer, TimePoint now)
