Dial a node at once when it says that it has started

A node that came up first dialled one whose machine had no power; the attempt ended after 1 s, and the next one was made 4 s later, since a node that had never been linked counted as gone for 30 s.

Change: when and whether a node is dialled is a decision of its own (traffic/dial). A node that becomes known or reports a later start is dialled at once, an attempt to reach its earlier process is dropped, and so is a link to that process. The rates are divided as soon as the table of nodes has been read instead of at the next tick: with faster links a node was ready before that, and refused keyed requests for up to 100 ms.

Ruled out: a shorter bound for attempts to connect alone, since the delay after it was what cost the time.

--- a/packages/relay/control/noderegistry.cpp
+++ b/packages/relay/control/noderegistry.cpp
@@ -100,6 +100,8 @@
         // may both have read the table before the other's write. Reading it again after the write
         // ensures that at least one of them finds the other.
         m_hasReadTable = m_knowsOwnRow || (own != nullptr && mergeRow(*own));
+        if (m_hasReadTable && m_onTableRead)
+            m_onTableRead();
         if (std::exchange(m_knowsOwnRow, true))
             return;
         // An unchanged row is written as well: the new version makes a delayed write of the earlier
--- a/packages/relay/control/noderegistry.h
+++ b/packages/relay/control/noderegistry.h
@@ -40,6 +40,8 @@
 
     /** Called with the row that an earlier process of this node has stored. */
     std::function<void(const NodeRow &)> m_onOwnRow;
+    /** Called once the table of nodes has been read. */
+    std::function<void()> m_onTableRead;
 
 private:
     void write();
--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -26,12 +26,7 @@
 /** Profiles change slowly, so only every n-th status carries one. */
 constexpr int StatusesPerProfile = 5;
 
-constexpr Milliseconds ConnectTimeout{1000};
-constexpr Milliseconds InitialReconnectDelay{100};
-constexpr Milliseconds MaximumReconnectDelay{1000};
-/** After this time without a link, attempts to connect become rarer. */
-constexpr std::chrono::seconds UnreachableAfter{30};
-constexpr Milliseconds UnreachableReconnectDelay{4000};
+constexpr traffic::DialSettings Dialling;
 
 /** A longer gap between ticks means that this process was paused. Other nodes are not suspected for
  * frames that could not be read meanwhile. */
@@ -73,11 +68,17 @@
         peer = std::make_unique<Peer>();
     else if (!isNewer(record, peer->m_record))
         return;
-    if (!isNew && record.m_address != peer->m_record.m_address && peer->m_link)
-        loseLink(*peer, std::chrono::steady_clock::now());
+    const TimePoint now = std::chrono::steady_clock::now();
+    const bool isOtherProcess = isNew || record.m_startedAt != peer->m_record.m_startedAt
+            || record.m_address != peer->m_record.m_address;
+    if (isOtherProcess) {
+        forgetEarlierProcess(*peer, now);
+        traffic::restartDialling(peer->m_dial, now);
+    }
     peer->m_record = record;
-    peer->m_nextConnectAt = std::min(peer->m_nextConnectAt, std::chrono::steady_clock::now());
     updatePlace(*peer);
+    if (!peer->m_link && !peer->m_dialling && now >= peer->m_dial.m_nextAt)
+        connect(*peer, now);
 }
 
 void Mesh::setInitialProfile(const std::string &node, const traffic::CallProfile &profile)
@@ -116,7 +117,7 @@
                 std::min(statusInterval(peer->m_record) * MissedUntilRetired, MaximumSilence);
         if (peer->m_link && now - peer->m_lastReceivedAt > longest)
             retireLink(*peer, now);
-        if (!peer->m_link && !peer->m_connecting && now >= peer->m_nextConnectAt)
+        if (!peer->m_link && !peer->m_dialling && now >= peer->m_dial.m_nextAt)
             connect(*peer, now);
     }
     // A retired link is left without calls if its last one was cancelled; close it here.
@@ -334,45 +335,58 @@
 
 void Mesh::connect(Peer &peer, TimePoint now)
 {
+    if (m_closed)
+        return;
     boost::asio::ip::tcp::endpoint endpoint;
     try {
         endpoint = parseEndpoint(peer.m_record.m_address);
     } catch (const std::invalid_argument &) {
-        peer.m_nextConnectAt = now + UnreachableReconnectDelay;
+        traffic::dialFailed(peer.m_dial, Dialling, now);
         return;
     }
-    peer.m_connecting = true;
-    auto socket = std::make_shared<boost::asio::ip::tcp::socket>(m_context);
-    const TimerId timer = m_timers.add(now + ConnectTimeout, [socket] {
+    const auto socket = std::make_shared<boost::asio::ip::tcp::socket>(m_context);
+    peer.m_dialling = socket;
+    const TimerId timer = m_timers.add(now + Dialling.m_timeout, [socket] {
         boost::system::error_code ignored;
         socket->close(ignored);
     });
-    const std::string node = peer.m_record.m_node;
     socket->async_connect(endpoint,
-                          [this, socket, timer, node,
+                          [this, socket, timer, node = peer.m_record.m_node,
                            alive = std::weak_ptr<bool>(m_alive)](boost::system::error_code error) {
                               if (alive.expired() || m_closed)
                                   return;
                               m_timers.cancel(timer);
-                              Peer *found = find(node);
-                              if (found == nullptr)
-                                  return;
-                              found->m_connecting = false;
-                              if (!error) {
-                                  startLink(*found, std::move(*socket));
-                                  return;
-                              }
-                              const TimePoint failedAt = std::chrono::steady_clock::now();
-                              const bool unreachable =
-                                      failedAt - found->m_lostAt > UnreachableAfter;
-                              found->m_reconnectDelay = unreachable
-                                      ? UnreachableReconnectDelay
-                                      : std::clamp(found->m_reconnectDelay * 2,
-                                                   InitialReconnectDelay, MaximumReconnectDelay);
-                              found->m_nextConnectAt = failedAt + found->m_reconnectDelay;
+                              connectEnded(node, socket, error);
                           });
 }
 
+void Mesh::connectEnded(const std::string &node,
+                        const std::shared_ptr<boost::asio::ip::tcp::socket> &socket,
+                        boost::system::error_code error)
+{
+    Peer *peer = find(node);
+    // The attempt may have been given up for one to a later process of the node.
+    if (peer == nullptr || peer->m_dialling != socket)
+        return;
+    peer->m_dialling = nullptr;
+    if (error)
+        traffic::dialFailed(peer->m_dial, Dialling, std::chrono::steady_clock::now());
+    else
+        startLink(*peer, std::move(*socket));
+}
+
+void Mesh::forgetEarlierProcess(Peer &peer, TimePoint now)
+{
+    if (peer.m_dialling) {
+        boost::system::error_code ignored;
+        peer.m_dialling->close(ignored);
+        peer.m_dialling = nullptr;
+    }
+    // A link without a Hello may already lead to the new process.
+    if (peer.m_link && peer.m_helloReceived)
+        loseLink(peer, now);
+}
+
 void Mesh::startLink(Peer &peer, boost::asio::ip::tcp::socket socket)
 {
     peer.m_link = std::make_shared<FrameConnection>(std::move(socket));
@@ -393,7 +407,7 @@
     peer.m_lastReceivedAt = std::chrono::steady_clock::now();
     if (const Hello *hello = std::get_if<Hello>(&frame)) {
         peer.m_helloReceived = true;
-        peer.m_reconnectDelay = Milliseconds{0};
+        traffic::linkEstablished(peer.m_dial);
         peer.m_record = hello->m_record;
         updatePlace(peer);
         m_handlers.m_onLinkChanged(peer.m_record, true);
@@ -502,7 +516,7 @@
     peer.m_calls.clear();
     const bool helloWasReceived = std::exchange(peer.m_helloReceived, false);
     peer.m_lostAt = now;
-    peer.m_nextConnectAt = now + InitialReconnectDelay;
+    traffic::linkLost(peer.m_dial, Dialling, now);
     if (helloWasReceived)
         m_handlers.m_onLinkChanged(peer.m_record, false);
 }
--- a/packages/relay/link/mesh.h
+++ b/packages/relay/link/mesh.h
@@ -3,6 +3,7 @@
 #include "relay/inbound/callresult.h"
 #include "relay/link/frameconnection.h"
 #include "relay/timers/timerqueue.h"
+#include "traffic/dial/dialschedule.h"
 #include "traffic/placement/placement.h"
 
 #include <boost/asio/io_context.hpp>
@@ -56,15 +57,16 @@
     NodeRecord m_record;
     traffic::Target m_target;
     std::shared_ptr<FrameConnection> m_link;
-    bool m_connecting = false;
+    /** Socket of the attempt to connect that is in progress. */
+    std::shared_ptr<boost::asio::ip::tcp::socket> m_dialling;
+    traffic::DialSchedule m_dial;
     /** The other node's Hello has arrived on the link. */
     bool m_helloReceived = false;
     /** The other node reports that its last calls to the store succeeded. */
     bool m_reachesStore = false;
     std::chrono::steady_clock::time_point m_lastReceivedAt;
-    std::chrono::steady_clock::time_point m_nextConnectAt;
+    /** When the last link was lost; unset before the first one. */
     std::chrono::steady_clock::time_point m_lostAt;
-    std::chrono::milliseconds m_reconnectDelay{0};
     /** Call profile of the node's backend server, as last reported. */
     traffic::CallProfile m_profile;
     /** Callers' demand at the node; of its whole region if that is another region. */
@@ -172,6 +174,12 @@
     void runCall(const std::shared_ptr<Session> &session, Call call);
     void sendStatus(Session &session, TimePoint now);
     void connect(Peer &peer, TimePoint now);
+    void connectEnded(const std::string &node,
+                      const std::shared_ptr<boost::asio::ip::tcp::socket> &socket,
+                      boost::system::error_code error);
+    /** Gives up what belongs to an earlier process of the node: an attempt to connect to it, and a
+     * link on which it has answered. */
+    void forgetEarlierProcess(Peer &peer, TimePoint now);
     void startLink(Peer &peer, boost::asio::ip::tcp::socket socket);
     void receive(Peer &peer, Frame frame);
     void completeCall(Peer &peer, std::uint64_t id, CallResult result);
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -125,6 +125,7 @@
         m_registry.setDeparted(traffic::departures(m_backend.instances()));
         m_gate.restoreProfile(row.m_profile);
     };
+    m_registry.m_onTableRead = [this] { updateRateSharers(std::chrono::steady_clock::now()); };
     m_store.m_onReachabilityChanged = [this] {
         logState(m_store.m_reachable ? "store-reachable" : "store-lost", {});
     };
--- a/packages/traffic/traffic.h
+++ b/packages/traffic/traffic.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "traffic/allotment/rateshare.h"
+#include "traffic/dial/dialschedule.h"
 #include "traffic/follow/policyfollower.h"
 #include "traffic/gate/gate.h"
 #include "traffic/instance/instanceregister.h"
