Let requests wait for a starting node and for their tokens

Within 100 ms 101 requests were refused because no policy was known and 112 because the nodes that share the rates were not; most callers return only once. After that the buckets are empty, and 187 requests of organisations within their rates got 429 within a second after a wait of 60 ms.

Change: in the first second of a process a request waits up to 300 ms, and at most a quarter of its caller's time, for the policy and the table of nodes (traffic/start, relay/entry/startqueue). A request waits up to 200 ms for a token, in a line that is bounded by what the organisation's rate yields here in that time; an organisation that sends several times its rate is refused at once instead of after 60 ms.

Ruled out: tokens for the time since the start of the process, since a node must admit nothing before it knows who shares the rates (existing test); 200 ms for every request, which holds up organisations beyond their rate.

--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -9,8 +9,6 @@
 
 using Milliseconds = std::chrono::milliseconds;
 
-/** Longest time that a request waits for tokens from other nodes. */
-constexpr Milliseconds MaxTokenWait{60};
 /** Interval at which a waiting request asks another node for tokens. */
 constexpr Milliseconds TokenRequestInterval{12};
 constexpr std::size_t MaxWaitingForTokens = 200;
@@ -22,8 +20,13 @@
 
 } // namespace
 
-EntryHandler::EntryHandler(EntryServices &services)
+EntryHandler::EntryHandler(EntryServices &services, TimePoint startedAt)
     : m_services(services)
+    , m_startedAt(startedAt)
+    , m_startQueue(services.m_timers,
+                   [this](const std::shared_ptr<ServerExchange> &exchange, HttpRequest request) {
+                       handle(exchange, std::move(request));
+                   })
 {
 }
 
@@ -36,6 +39,8 @@
     entry.m_attempt = fieldValue(entry.m_request, m_services.m_settings.m_headers.m_attempt);
     entry.m_policy = m_services.m_policy.current();
     if (!entry.m_policy) {
+        if (waitForStart(exchange, entry.m_request, now))
+            return;
         refuse(exchange, std::move(entry), Outcome::RefusedUnavailable, 503, "no policy known yet",
                StartRetryAfter);
         return;
@@ -46,12 +51,9 @@
         refuse(exchange, std::move(entry), Outcome::RefusedPolicy, status, problem, {});
         return;
     }
-    const std::int64_t requestedTimeout =
-            parseNumber(fieldValue(entry.m_request, m_services.m_settings.m_headers.m_deadline));
     entry.m_deadline = entry.m_arrivedAt + entry.m_route->m_timeout;
-    if (requestedTimeout >= 0)
-        entry.m_deadline =
-                std::min(entry.m_deadline, entry.m_arrivedAt + Milliseconds(requestedTimeout));
+    if (const std::optional<Milliseconds> patience = patienceOf(entry.m_request))
+        entry.m_deadline = std::min(entry.m_deadline, entry.m_arrivedAt + *patience);
     findParent(entry);
     if (!acceptedDuringShutdown(entry, now)) {
         refuse(exchange, std::move(entry), Outcome::RefusedUnavailable, 503, "the node stops",
@@ -103,6 +105,26 @@
             ->refuse(outcome, status, reason, retryAfter);
 }
 
+bool EntryHandler::waitForStart(const std::shared_ptr<ServerExchange> &exchange,
+                                HttpRequest &request, TimePoint now)
+{
+    const traffic::StartWaitSettings &settings = m_services.m_settings.m_startWait;
+    const Milliseconds patience = patienceOf(request).value_or(settings.m_longest);
+    const TimePoint until =
+            traffic::endOfStartWait(settings, m_startedAt, exchange->receivedAt(), patience);
+    if (until <= now || m_startQueue.size() >= settings.m_requests)
+        return false;
+    m_startQueue.add(exchange, std::move(request), until);
+    return true;
+}
+
+std::optional<std::chrono::milliseconds> EntryHandler::patienceOf(const HttpRequest &request) const
+{
+    const std::int64_t milliseconds =
+            parseNumber(fieldValue(request, m_services.m_settings.m_headers.m_deadline));
+    return milliseconds < 0 ? std::nullopt : std::make_optional(Milliseconds(milliseconds));
+}
+
 bool EntryHandler::identify(EntryRequest &request, std::string &problem, int &status)
 {
     const traffic::PolicyIndex &policy = *request.m_policy;
@@ -133,11 +155,9 @@
 {
     if (!request.m_route->m_open && request.m_policy->policy().m_requiresKeys)
         return;
-    const std::int64_t requestedTimeout =
-            parseNumber(fieldValue(request.m_request, m_services.m_settings.m_headers.m_deadline));
-    const std::optional<ParentRun> parent = requestedTimeout < 0
-            ? std::nullopt
-            : m_services.m_gate.parentOf(request.m_arrivedAt + Milliseconds(requestedTimeout));
+    const std::optional<Milliseconds> patience = patienceOf(request.m_request);
+    const std::optional<ParentRun> parent =
+            patience ? m_services.m_gate.parentOf(request.m_arrivedAt + *patience) : std::nullopt;
     if (parent) {
         request.m_nested = true;
         request.m_priority = parent->m_priority;
@@ -162,6 +182,8 @@
         return;
     }
     const TimePoint now = std::chrono::steady_clock::now();
+    if (m_services.m_rates.m_sharers.empty() && waitForStart(exchange, request.m_request, now))
+        return;
     traffic::recordArrival(m_services.m_rates, request.m_organisation, now);
     const bool charged = traffic::takeToken(m_services.m_rates, request.m_organisation, now);
     requestTokens(request.m_organisation, !charged, now);
@@ -181,12 +203,19 @@
                "it is not known yet who shares the organisation's rate", StartRetryAfter);
         return;
     }
-    if (m_waiting.size() >= MaxWaitingForTokens || m_services.m_mesh.linkedPeers() == 0) {
+    const auto waiting =
+            std::count_if(m_waiting.begin(), m_waiting.end(), [&request](const auto &entry) {
+                return entry.second.m_request.m_organisation == request.m_organisation;
+            });
+    if (m_waiting.size() >= MaxWaitingForTokens || m_services.m_mesh.linkedPeers() == 0
+        || !traffic::mayWaitForToken(m_services.m_rates, request.m_organisation,
+                                     static_cast<std::size_t>(waiting))) {
         refuseOverAllotment(exchange, std::move(request));
         return;
     }
     const std::uint64_t number = ++m_lastWaiting;
-    const TimePoint until = std::chrono::steady_clock::now() + MaxTokenWait;
+    const TimePoint until =
+            std::chrono::steady_clock::now() + m_services.m_settings.m_rates.m_longestWait;
     m_waiting.emplace(number, WaitingForTokens{exchange, std::move(request)});
     scheduleTokenRequest(number);
     m_services.m_timers.add(until, [this, number] {
--- a/packages/relay/entry/entryhandler.h
+++ b/packages/relay/entry/entryhandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/entry/entrycall.h"
+#include "relay/entry/startqueue.h"
 
 #include <memory>
 #include <string>
@@ -13,10 +14,15 @@
 class EntryHandler
 {
 public:
-    explicit EntryHandler(EntryServices &services);
+    /** @param startedAt start of the process. */
+    EntryHandler(EntryServices &services, std::chrono::steady_clock::time_point startedAt);
 
     void handle(const std::shared_ptr<ServerExchange> &exchange, HttpRequest request);
 
+    /** Called when the policy or the other nodes have become known: decides about the requests that
+     * have waited for it. */
+    void releaseStartQueue() { m_startQueue.release(); }
+
     /** Called when tokens have arrived from another node: admits the waiting requests they cover.
      */
     void tokensArrived();
@@ -33,6 +39,11 @@
     void refuse(const std::shared_ptr<ServerExchange> &exchange, EntryRequest request,
                 Outcome outcome, int status, const std::string &reason,
                 std::chrono::milliseconds retryAfter);
+    /** Makes a request wait until the node knows enough to decide about it.
+     * @returns false if it is to be refused; the request is unchanged then. */
+    bool waitForStart(const std::shared_ptr<ServerExchange> &exchange, HttpRequest &request,
+                      TimePoint now);
+    std::optional<std::chrono::milliseconds> patienceOf(const HttpRequest &request) const;
     bool identify(EntryRequest &request, std::string &problem, int &status);
     void findParent(EntryRequest &request);
     bool acceptedDuringShutdown(const EntryRequest &request, TimePoint now) const;
@@ -45,6 +56,8 @@
     void admit(const std::shared_ptr<ServerExchange> &exchange, EntryRequest request);
 
     EntryServices &m_services;
+    TimePoint m_startedAt;
+    StartQueue m_startQueue;
     std::unordered_map<std::uint64_t, WaitingForTokens> m_waiting;
     std::uint64_t m_lastWaiting = 0;
 };
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -81,7 +81,7 @@
                       {m_settings.m_stop, {}},
                       {},
                       {}}
-    , m_entry(m_entryServices)
+    , m_entry(m_entryServices, std::chrono::steady_clock::now())
     , m_platformLimits(platformLimits())
     , m_callers(context, m_settings.m_callerAddress, m_callerLimits,
                 [this](const std::shared_ptr<ServerExchange> &exchange, HttpRequest request) {
@@ -125,7 +125,10 @@
         m_registry.setDeparted(traffic::departures(m_backend.instances()));
         m_gate.restoreProfile(row.m_profile);
     };
-    m_registry.m_onTableRead = [this] { updateRateSharers(std::chrono::steady_clock::now()); };
+    m_registry.m_onTableRead = [this] {
+        updateRateSharers(std::chrono::steady_clock::now());
+        m_entry.releaseStartQueue();
+    };
     m_store.m_onReachabilityChanged = [this] {
         logState(m_store.m_reachable ? "store-reachable" : "store-lost", {});
     };
@@ -275,6 +278,7 @@
     for (const traffic::OrganisationPolicy &organisation : policy.m_organisations)
         traffic::setRate(m_rates, organisation.m_name, organisation.m_rate, organisation.m_burst,
                          now);
+    m_entry.releaseStartQueue();
     // Tells the new version to nodes that do not follow the store themselves.
     if (m_followsPolicy)
         m_mesh.sendStatuses();
--- a/packages/relay/runtime/relaysettings.h
+++ b/packages/relay/runtime/relaysettings.h
@@ -5,6 +5,7 @@
 #include "traffic/gate/gate.h"
 #include "traffic/placement/placement.h"
 #include "traffic/retry/repeatbudget.h"
+#include "traffic/start/startwait.h"
 #include "traffic/stop/stop.h"
 #include "traffic/treeadmission/treeadmission.h"
 
@@ -74,6 +75,7 @@
      * connection was reset. Together with m_repeats it stays below 0.2 repeats a request. */
     traffic::RepeatBudgetSettings m_resends{.m_ratio = 0.03, .m_keptForImportant = 0.0};
     traffic::RateShareSettings m_rates;
+    traffic::StartWaitSettings m_startWait;
     traffic::StopSettings m_stop;
     /** log4cxx level: "off", "error", "warn", "info" or "debug". */
     std::string m_logLevel = "info";
--- a/packages/traffic/allotment/rateshare.cpp
+++ b/packages/traffic/allotment/rateshare.cpp
@@ -144,6 +144,17 @@
     return std::ceil(wanted - share->m_tokens);
 }
 
+bool mayWaitForToken(const RateShares &shares, const std::string &organisation, std::size_t waiting)
+{
+    const auto found = shares.m_organisations.find(organisation);
+    if (found == shares.m_organisations.end() || shares.m_sharers.empty())
+        return false;
+    constexpr double UnevenDemand = 2.0;
+    const double tokens = found->second.m_rate * Seconds(shares.m_settings.m_longestWait).count()
+            / static_cast<double>(shares.m_sharers.size());
+    return static_cast<double>(waiting) < std::max(1.0, UnevenDemand * tokens);
+}
+
 const std::vector<std::string> &rateHolders(const RateShares &shares,
                                             const std::string &organisation)
 {
--- a/packages/traffic/allotment/rateshare.h
+++ b/packages/traffic/allotment/rateshare.h
@@ -3,6 +3,7 @@
 #include "traffic/allotment/rateholders.h"
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -27,6 +28,8 @@
     double m_burstTolerance = 0.0;
     /** Minimum burst of each node that holds a bucket, in requests. */
     double m_minimumHolderBurst = 4.0;
+    /** Maximum time that a request waits for a token. */
+    std::chrono::milliseconds m_longestWait{200};
     /** Demand in requests per second at which a node that is not a holder starts to prefetch
      * tokens. */
     double m_prefetchDemand = 4.0;
@@ -104,6 +107,15 @@
 double tokensToAsk(RateShares &shares, const std::string &organisation, bool requestWaits,
                    std::chrono::steady_clock::time_point now);
 
+/**
+ * Decides whether a request without a token waits for one. It does unless more requests of the
+ * organisation wait here than twice this node's even share of the tokens of the longest wait: an
+ * organisation that sends several times its rate is refused at once instead.
+ * @param waiting requests of the organisation that already wait at this node.
+ */
+bool mayWaitForToken(const RateShares &shares, const std::string &organisation,
+                     std::size_t waiting);
+
 /** @returns the other nodes that hold a bucket of the organisation. */
 const std::vector<std::string> &rateHolders(const RateShares &shares,
                                             const std::string &organisation);
--- a/packages/traffic/traffic.h
+++ b/packages/traffic/traffic.h
@@ -20,5 +20,6 @@
 #include "traffic/profile/callprofile.h"
 #include "traffic/retry/repeatbudget.h"
 #include "traffic/split/splitchooser.h"
+#include "traffic/start/startwait.h"
 #include "traffic/stop/stop.h"
 #include "traffic/treeadmission/treeadmission.h"
--- a/tests/traffic/rateshare_test.cpp
+++ b/tests/traffic/rateshare_test.cpp
@@ -325,3 +325,23 @@
         REQUIRE(takeToken(shares, Organisation, Start));
     CHECK(takeToken(shares, "unknown", Start));
 }
+
+// Guards against wrongful refusals when callers return in numbers, e.g. to nodes that were all
+// started again and begin without tokens, and against holding up an organisation that sends several
+// times its rate.
+TEST_CASE("A request waits for a token unless too many of its organisation wait already")
+{
+    RateShares shares;
+    std::vector<RateSharer> sharers;
+    for (int node = 0; node < 16; ++node)
+        sharers.push_back({std::to_string(node), "east"});
+    setRate(shares, "large", 800.0, 800.0, Start);
+    setRate(shares, "small", 16.0, 16.0, Start);
+    CHECK_FALSE(mayWaitForToken(shares, "large", 0));
+    setSharers(shares, "0", sharers, Start);
+    // 800 tokens a second are 10 at each node in 200 ms.
+    CHECK(mayWaitForToken(shares, "large", 19));
+    CHECK_FALSE(mayWaitForToken(shares, "large", 20));
+    CHECK(mayWaitForToken(shares, "small", 0));
+    CHECK_FALSE(mayWaitForToken(shares, "small", 1));
+}
