Read the settings of the decisions from a file, and compare variants of them

Cause: the ablation that the users ask for needs each mechanism to be switchable, and a change of a figure needed a build of its own.

Defaults are unchanged.

Ruled out: environment variables, which the platform passes only from the deploy file; one build per variant.

--- a/packages/node/main.cpp
+++ b/packages/node/main.cpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <exception>
 #include <fstream>
 #include <iostream>
@@ -62,14 +63,18 @@
     int m_check = 0;
     int m_version = 0;
     std::string m_settingsPath;
+    std::string m_decisionsPath;
 };
 
 /** @returns whether the arguments are valid; otherwise the reason has been printed. */
 bool parseArguments(int count, char **values, Arguments &arguments)
 {
+    char *decisionsPath = nullptr;
     const poptOption options[] = {{"platform", '\0', POPT_ARG_NONE, &arguments.m_platform, 0,
                                    "serve on the platform, with the settings that it has placed",
                                    nullptr},
+                                  {"decisions", '\0', POPT_ARG_STRING, &decisionsPath, 0,
+                                   "settings of the decisions on the platform", "FILE"},
                                   {"check", '\0', POPT_ARG_NONE, &arguments.m_check, 0,
                                    "check the settings, print all findings and exit", nullptr},
                                   {"version", '\0', POPT_ARG_NONE, &arguments.m_version, 0,
@@ -79,8 +84,12 @@
             poptGetContext("chervilmount-node", count, const_cast<const char **>(values), options,
                            0),
             poptFreeContext);
-    poptSetOtherOptionHelp(context.get(), "[--check] SETTINGS.json | [--check] --platform");
+    poptSetOtherOptionHelp(context.get(),
+                           "[--check] SETTINGS.json | [--check] --platform [--decisions FILE]");
     const int result = poptGetNextOpt(context.get());
+    if (decisionsPath != nullptr)
+        arguments.m_decisionsPath = decisionsPath;
+    std::free(decisionsPath);
     if (result < -1) {
         std::cerr << "chervilmount-node: " << poptBadOption(context.get(), 0) << ": "
                   << poptStrerror(result) << '\n';
@@ -90,7 +99,9 @@
     if (path != nullptr)
         arguments.m_settingsPath = path;
     const bool hasPath = path != nullptr;
-    const bool isComplete = arguments.m_version != 0 || hasPath != (arguments.m_platform != 0);
+    const bool isComplete = arguments.m_version != 0
+            || (hasPath != (arguments.m_platform != 0)
+                && (arguments.m_decisionsPath.empty() || arguments.m_platform != 0));
     if (isComplete && poptPeekArg(context.get()) == nullptr)
         return true;
     poptPrintUsage(context.get(), stderr, 0);
@@ -102,7 +113,7 @@
     if (arguments.m_version != 0)
         std::cout << "chervilmount-node " << CHERVILMOUNT_VERSION << '\n';
     else if (arguments.m_platform != 0)
-        chervilmount::platform::run(arguments.m_check != 0);
+        chervilmount::platform::run(arguments.m_decisionsPath, arguments.m_check != 0);
     else if (arguments.m_check != 0)
         chervilmount::node::parseNodeSettings(readFile(arguments.m_settingsPath),
                                               arguments.m_settingsPath);
--- a/packages/relay/control/loadexchange.cpp
+++ b/packages/relay/control/loadexchange.cpp
@@ -91,7 +91,7 @@
             continue;
         if (peer->m_record.m_usable && !peer->m_record.m_leaving)
             add(peer->m_record.m_service, peer->m_target.m_load);
-        if (!mesh.isInRegion(peer->m_record))
+        if (!mesh.isInRegion(peer->m_record) && m_admission.m_settings.m_countsOtherRegions)
             traffic::addDemand(demand, peer->m_demand);
     }
     if (instances.m_usable)
--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -120,7 +120,8 @@
     }
     const bool overloaded = reason != "no backend server";
     const Milliseconds delay = overloaded
-            ? traffic::retryAfter(m_entry.m_route->m_targetLatency, m_entry.m_admittedShare,
+            ? traffic::retryAfter(m_services.m_settings.m_retryAfter,
+                                  m_entry.m_route->m_targetLatency, m_entry.m_admittedShare,
                                   m_services.m_random)
             : UnavailableRetryAfter;
     refuse(overloaded ? Outcome::RefusedOverload : Outcome::RefusedUnavailable, 503, reason, delay);
--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -288,7 +288,8 @@
                 request.m_priority, std::chrono::steady_clock::now());
         request.m_admittedShare = decision.m_share;
         if (!decision.m_admitted) {
-            const Milliseconds delay = traffic::retryAfter(request.m_route->m_targetLatency,
+            const Milliseconds delay = traffic::retryAfter(m_services.m_settings.m_retryAfter,
+                                                           request.m_route->m_targetLatency,
                                                            decision.m_share, m_services.m_random);
             refuse(exchange, std::move(request), Outcome::RefusedOverload, 503,
                    "no room at service " + decision.m_service, delay);
--- a/packages/relay/relay.h
+++ b/packages/relay/relay.h
@@ -11,6 +11,7 @@
 
 #include "relay/control/activepolicy.h"
 #include "relay/control/announcement.h"
+#include "relay/runtime/decisionsettings.h"
 #include "relay/runtime/relaynode.h"
 #include "relay/runtime/relaysettings.h"
 #include "relay/store/noderow.h"
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -97,6 +97,7 @@
 {
     m_callers.setMaximumSessions(m_settings.m_maximumSessions);
     SessionSettings sessions;
+    sessions.m_requestsAtOnce = m_settings.m_requestsAtOnce;
     sessions.m_bodies = m_bodies;
     m_callers.setSessionSettings(sessions);
     if (!m_settings.m_metricsAddress.empty())
--- a/packages/relay/runtime/relaysettings.h
+++ b/packages/relay/runtime/relaysettings.h
@@ -63,6 +63,8 @@
     /** Listener for metrics; none if empty. */
     std::string m_metricsAddress;
     std::size_t m_maximumSessions = 2500;
+    /** Requests of one connection that are handled at once. */
+    std::size_t m_requestsAtOnce = 8;
     /** Maximum bytes of request and response bodies that the node holds in memory. */
     std::size_t m_bodyBytes = 64UL * 1024 * 1024;
     HeaderNames m_headers;
@@ -70,6 +72,7 @@
     traffic::GateSettings m_gate;
     traffic::PlacementSettings m_placement;
     traffic::TreeAdmissionSettings m_treeAdmission;
+    traffic::RetryAfterSettings m_retryAfter;
     traffic::RepeatBudgetSettings m_repeats;
     /** Budget for requests that are resent to the local backend server after a stale keep-alive
      * connection was reset. Together with m_repeats it stays below 0.2 repeats a request. */
--- a/packages/traffic/allotment/rateshare.cpp
+++ b/packages/traffic/allotment/rateshare.cpp
@@ -122,7 +122,7 @@
                    std::chrono::steady_clock::time_point now)
 {
     RateShare *share = limitedShare(shares, organisation);
-    if (share == nullptr)
+    if (share == nullptr || !shares.m_settings.m_transfersTokens)
         return 0.0;
     refill(*share, now);
     const bool urgent = share->m_tokens < 1.0;
--- a/packages/traffic/allotment/rateshare.h
+++ b/packages/traffic/allotment/rateshare.h
@@ -15,6 +15,8 @@
 {
     /** A node requests tokens when its bucket covers less than this period of its demand. */
     std::chrono::milliseconds m_prefetchPeriod{1000};
+    /** Nodes that run short request tokens from others. */
+    bool m_transfersTokens = true;
     /** Minimum interval between token requests for one organisation. */
     std::chrono::milliseconds m_requestInterval{50};
     /** Minimum interval while the bucket is empty. */
--- a/packages/traffic/gate/gate.cpp
+++ b/packages/traffic/gate/gate.cpp
@@ -63,7 +63,8 @@
         decision.m_verdict = GateVerdict::Start;
         return decision;
     }
-    const overload::Rank rank = overload::makeRank(queueLevel(run), 0, {});
+    const overload::Rank rank =
+            overload::makeRank(gate.m_settings.m_ordersByImportance ? queueLevel(run) : 0, 0, {});
     const double ahead = overload::waitingBefore(gate.m_queue, rank) + 1.0;
     decision.m_expectedWait = nanoseconds(ahead * gate.m_holdSeconds / limit);
     const std::chrono::nanoseconds allowed = maximumWait(gate, run, now);
--- a/packages/traffic/gate/gate.h
+++ b/packages/traffic/gate/gate.h
@@ -19,6 +19,8 @@
     /** Maximum wait of a nested call, as a fraction of its route's target latency. Its caller holds
      * a slot during the wait, and a refusal wastes the work done so far. */
     double m_nestedWaitShare = 0.5;
+    /** Waiting runs are ordered by importance, nested calls first; otherwise by their arrival. */
+    bool m_ordersByImportance = true;
     /** Maximum queue length; bounds the memory. */
     std::uint32_t m_maximumQueued = 1024;
 };
--- a/packages/traffic/placement/placement.cpp
+++ b/packages/traffic/placement/placement.cpp
@@ -51,8 +51,9 @@
     const double waitShare = request.m_goesFirst ? settings.m_topPriorityWaitShare : 1.0;
     cost.m_waitSeconds = std::max(0.0, slotUtilisation(target) - 1.0) * hold * waitShare;
     const double relative = target.m_load.m_relativeHold;
-    const double own =
-            request.m_holdSeconds > 0 && relative > 0 ? request.m_holdSeconds * relative : hold;
+    const double own = settings.m_usesRelativeHold && request.m_holdSeconds > 0 && relative > 0
+            ? request.m_holdSeconds * relative
+            : hold;
     cost.m_seconds = own + cost.m_waitSeconds;
     // Distributes calls over the targets before one is full, in proportion to the free slots.
     cost.m_seconds += std::max(0.0, slotUtilisation(target) - BusyUtilisation) * hold * waitShare;
--- a/packages/traffic/placement/placement.h
+++ b/packages/traffic/placement/placement.h
@@ -32,6 +32,8 @@
      * nodes chose the best of all targets by the same reports, they would all send their calls
      * there until the next reports. */
     std::size_t m_candidatesPerPlace = 2;
+    /** Backend servers are compared by the hold times of the same routes. */
+    bool m_usesRelativeHold = true;
     /** Fraction of calls sent to a random target of the own region. Otherwise a target that was
      * measured as slow would get no calls, and its measurement would never be updated. */
     double m_explorationShare = 0.02;
--- a/packages/traffic/treeadmission/treeadmission.cpp
+++ b/packages/traffic/treeadmission/treeadmission.cpp
@@ -26,11 +26,6 @@
 constexpr double MaximumCountedUse = 1.5;
 /** Minimum admitted share, so that no kind of request is starved. */
 constexpr double MinimumAdmittedShare = 0.02;
-constexpr std::chrono::milliseconds MinimumRetryDelay{100};
-
-/** Bounds of the retry delay as fractions of the target latency. */
-constexpr double MinimumRetryDelayShare = 0.2;
-constexpr double MaximumRetryDelayShare = 0.6;
 
 double sumOf(const WorkByLevel &levels)
 {
@@ -115,7 +110,8 @@
     updateAverage(state.m_use, use, step, UseAveragingSeconds);
     updateAverage(state.m_runs, load.m_runs, step, UseAveragingSeconds);
     double budget = load.m_slots * settings.m_target * state.m_correction;
-    updateCorrection(state, settings, load.m_slots, sumOf(demand) > budget, step);
+    if (settings.m_correctsCosts)
+        updateCorrection(state, settings, load.m_slots, sumOf(demand) > budget, step);
     if (state.m_use > settings.m_overloadUtilisation)
         budget *= settings.m_overloadUtilisation / state.m_use;
     for (std::size_t level = 0; level < demand.size(); ++level) {
@@ -130,6 +126,8 @@
                        std::span<const TreeCost> costs, int level)
 {
     TreeDecision decision;
+    if (!admission.m_settings.m_enabled)
+        return decision;
     for (const auto &[service, cost] : costs) {
         const double share = admittedShare(admission, service, level);
         if (share < decision.m_share) {
@@ -139,6 +137,11 @@
     }
     if (decision.m_share >= 1.0)
         return decision;
+    if (!admission.m_settings.m_thinsEvenly) {
+        decision.m_admitted =
+                std::uniform_real_distribution<double>()(admission.m_random) < decision.m_share;
+        return decision;
+    }
     // Deterministic thinning gives a lower variance of the admitted load than random admission.
     constexpr double FirstCredit = 0.5;
     double &credit = admission.m_credits
@@ -166,15 +169,16 @@
     }
 }
 
-std::chrono::milliseconds retryAfter(std::chrono::milliseconds targetLatency, double share,
+std::chrono::milliseconds retryAfter(const RetryAfterSettings &settings,
+                                     std::chrono::milliseconds targetLatency, double share,
                                      std::mt19937_64 &random)
 {
     // The lower the admitted share, the longer the overload is expected to last.
     const double stretch = 1.0 + (1.0 - share);
-    std::uniform_real_distribution<double> spread(MinimumRetryDelayShare, MaximumRetryDelayShare);
+    std::uniform_real_distribution<double> spread(settings.m_minimumShare, settings.m_maximumShare);
     const auto delay = std::chrono::milliseconds(static_cast<std::int64_t>(
             static_cast<double>(targetLatency.count()) * spread(random) * stretch));
-    return std::max(MinimumRetryDelay, delay);
+    return std::max(settings.m_minimum, delay);
 }
 
 } // namespace chervilmount::traffic
--- a/packages/traffic/treeadmission/treeadmission.h
+++ b/packages/traffic/treeadmission/treeadmission.h
@@ -15,6 +15,14 @@
 /** Settings of the admission control for call trees. */
 struct TreeAdmissionSettings
 {
+    /** Without admission control all requests are admitted. */
+    bool m_enabled = true;
+    /** The estimated costs are corrected by the reported runs. */
+    bool m_correctsCosts = true;
+    /** Requests are thinned evenly; otherwise by random draws. */
+    bool m_thinsEvenly = true;
+    /** Demand of other regions counts. */
+    bool m_countsOtherRegions = true;
     /** Target utilisation of a service's usable slots. */
     double m_target = 0.92;
     /** Time constants of the cost correction. It is lowered slowly because utilisation also
@@ -31,6 +39,16 @@
     double m_overloadUtilisation = 2.0;
 };
 
+/** Settings of the retry delay for refused callers. */
+struct RetryAfterSettings
+{
+    /** Bounds of the delay as fractions of the target latency. @{ */
+    double m_minimumShare = 0.2;
+    double m_maximumShare = 0.6;
+    /** @} */
+    std::chrono::milliseconds m_minimum{100};
+};
+
 /** Slot utilisation of a service as reported by the nodes of its backend servers. */
 struct ServiceLoad
 {
@@ -66,6 +84,7 @@
     std::unordered_map<std::string, ServiceAdmission> m_services;
     /** Admission credits by route and priority level, for deterministic thinning. */
     std::unordered_map<std::string, double> m_credits;
+    std::mt19937_64 m_random;
 };
 
 /**
@@ -110,7 +129,8 @@
  * overload is short, and has jitter so that retries do not coincide.
  * @param share fraction of such requests that is currently admitted.
  */
-std::chrono::milliseconds retryAfter(std::chrono::milliseconds targetLatency, double share,
+std::chrono::milliseconds retryAfter(const RetryAfterSettings &settings,
+                                     std::chrono::milliseconds targetLatency, double share,
                                      std::mt19937_64 &random);
 
 } // namespace chervilmount::traffic
--- a/tests/traffic/treeadmission_test.cpp
+++ b/tests/traffic/treeadmission_test.cpp
@@ -302,7 +302,7 @@
     std::chrono::milliseconds least = 10s;
     std::chrono::milliseconds most = 0ms;
     for (int caller = 0; caller < 1000; ++caller) {
-        const std::chrono::milliseconds delay = retryAfter(1500ms, 0.5, random);
+        const std::chrono::milliseconds delay = retryAfter({}, 1500ms, 0.5, random);
         least = std::min(least, delay);
         most = std::max(most, delay);
     }
