Count repeats over windows, and try silent and slow servers a second time

Cause: a machine that loses power kept the calls it was running. Repeats could not mend that: a node kept three at most, however many requests it had handled, and half a one was reserved.

Change: repeats are bounded by the requests of a sliding window and the one before it, each counted half (traffic/retry/repeatbudget). Every node takes the same mean of both, so that the sum over nodes stays within the users' bound without any exchange. A node that has missed half a status interval is silent: it is used only if there is no other, and an idempotent call that waits there is sent to another node as well, out of the repeats; so is one at a backend server that has turned slow while another has not (traffic/retry/secondattempt). The first attempt goes on, and the first answer counts.

Ruled out: giving up the first attempt, since a silent node may only be slow to report; a budget shared between nodes, which the windows make needless.

The two new tests of silent nodes fail with second attempts off.

--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -47,13 +47,14 @@
                                                   self->m_deadlineTimer = 0;
                                                   self->handleTimeout();
                                               });
-    traffic::recordFirstAttempt(m_services.m_repeats, m_entry.m_service);
+    traffic::recordFirstAttempt(m_services.m_repeats, m_entry.m_service,
+                                std::chrono::steady_clock::now());
     attempt();
 }
 
 void EntryCall::abort()
 {
-    if (m_running || m_mayHaveRun)
+    if (!m_running.empty() || m_mayHaveRun)
         refuse(Outcome::Unknown, 502, "the node stopped before the answer came", {});
     else
         refuseWithoutCapacity("the node stopped");
@@ -84,19 +85,22 @@
             {m_tried, m_entry.m_priority == 0,
              m_services.m_loads.expectedHold(m_entry.m_route->m_name).count()},
             m_services.m_settings.m_placement, m_services.m_random, now);
+    const bool isSecond = !m_running.empty();
+    if (isSecond && (!placement || m_tried.size() >= MaxPlacementAttempts))
+        return;
     if (!placement || m_tried.size() >= MaxPlacementAttempts) {
         refuseWithoutCapacity(targets.empty() ? "no backend server" : "no room");
         return;
     }
     const std::string node = targets[placement->m_index]->m_node;
-    if (m_arrivals == 0
+    if (m_arrivals == 0 && !isSecond
         && std::chrono::duration<double>(placement->m_expectedWait)
                 > m_entry.m_route->m_targetLatency * allowedWaitShare()) {
         refuseWithoutCapacity("expected wait too long");
         return;
     }
     m_tried.push_back(node);
-    m_running = Attempt{node, 0};
+    m_running.push_back({node, 0, now});
     const CallResponder responder = [self = shared_from_this(), node](CallResult result) {
         self->attemptEnded(node, std::move(result));
     };
@@ -108,8 +112,10 @@
         return;
     }
     // The responder may have been called already, and a retry may be running.
-    if (m_running && m_running->m_node == node)
-        m_running->m_number = number;
+    for (Attempt &running : m_running) {
+        if (running.m_node == node)
+            running.m_number = number;
+    }
 }
 
 void EntryCall::refuseWithoutCapacity(const std::string &reason)
@@ -178,7 +184,7 @@
 {
     if (m_finished)
         return;
-    m_running.reset();
+    std::erase_if(m_running, [&node](const Attempt &running) { return running.m_node == node; });
     if (Answer *answer = std::get_if<Answer>(&result))
         handleAnswer(node, std::move(*answer));
     else
@@ -188,6 +194,11 @@
 void EntryCall::handleAnswer(const std::string &node, Answer answer)
 {
     recordAttempt(node, routing::AttemptResult::Success, std::chrono::steady_clock::now());
+    // The other attempt may still be served.
+    if (answer.m_status >= 500 && !m_running.empty()) {
+        m_mayHaveRun = true;
+        return;
+    }
     HttpResponse response = makeResponse(answer.m_status, std::move(answer.m_body));
     for (const HeaderField &field : answer.m_fields)
         response.insert(field.m_name, field.m_value);
@@ -207,6 +218,8 @@
     m_mayHaveRun = m_mayHaveRun || !failure.m_notRun;
     if (failure.m_arrived)
         ++m_arrivals;
+    if (!m_running.empty())
+        return;
     if (failure.m_reason == FailureReason::Timeout) {
         handleTimeout();
         return;
@@ -234,28 +247,75 @@
 {
     if (!failure.m_notRun && !isIdempotent())
         return false;
+    if (!failure.m_arrived)
+        return hasTimeToRepeat(now);
+    return takeRepeat(m_arrivals, now);
+}
+
+bool EntryCall::hasTimeToRepeat(TimePoint now) const
+{
     const std::chrono::duration<double> left = deadline() - now;
     const std::chrono::duration<double> whole = m_entry.m_deadline - m_entry.m_arrivedAt;
-    if (left < whole * MinRemainingTimeShare)
-        return false;
-    if (!failure.m_arrived)
-        return true;
+    return left >= whole * MinRemainingTimeShare;
+}
+
+bool EntryCall::takeRepeat(int arrivals, TimePoint now)
+{
     const bool important = m_entry.m_priority == 0;
-    if (m_arrivals >= m_entry.m_route->m_maximumAttempts
-        || !traffic::hasRepeat(m_services.m_repeats, m_entry.m_service, important))
+    if (!hasTimeToRepeat(now) || arrivals >= m_entry.m_route->m_maximumAttempts
+        || !traffic::hasRepeat(m_services.m_repeats, m_entry.m_service, important, now))
         return false;
     traffic::takeRepeat(m_services.m_repeats, m_entry.m_service, important,
-                        m_services.m_loads.nestedRunsOf(*m_entry.m_policy, *m_entry.m_route));
+                        m_services.m_loads.nestedRunsOf(*m_entry.m_policy, *m_entry.m_route), now);
     ++m_services.m_counters.m_repeats;
     return true;
 }
 
+void EntryCall::reconsider(TimePoint now)
+{
+    if (m_finished || m_running.size() != 1 || !isIdempotent())
+        return;
+    const traffic::RunningAttempt attempt = describe(m_running.front(), now);
+    if (!traffic::isDoubtful(m_services.m_settings.m_secondAttempts, attempt)
+        || !takeRepeat(m_arrivals + 1, now))
+        return;
+    ++m_services.m_counters.m_secondAttempts;
+    logSecondAttempt(attempt, now);
+    this->attempt();
+}
+
+traffic::RunningAttempt EntryCall::describe(const Attempt &attempt, TimePoint now) const
+{
+    traffic::RunningAttempt running;
+    running.m_age = now - attempt.m_startedAt;
+    running.m_expectedHold = m_services.m_loads.expectedHold(m_entry.m_route->m_name);
+    const double ownHold = m_services.m_gate.load().m_relativeHold;
+    if (attempt.m_node.empty()) {
+        running.m_relativeHold = ownHold;
+    } else {
+        const Peer *peer = m_services.m_mesh.peerNamed(attempt.m_node);
+        running.m_isSilent = peer == nullptr || m_services.m_mesh.isSilent(*peer, now);
+        running.m_relativeHold = peer == nullptr ? 0.0 : peer->m_target.m_load.m_relativeHold;
+    }
+    if (running.m_relativeHold < m_services.m_settings.m_secondAttempts.m_slowHold)
+        return running;
+    double lowest = running.m_relativeHold;
+    if (!attempt.m_node.empty() && m_services.m_gate.serves(m_entry.m_service))
+        lowest = ownHold;
+    for (const traffic::Target *target : m_services.m_mesh.targetsOf(m_entry.m_service, now)) {
+        if (target->m_node != attempt.m_node)
+            lowest = std::min(lowest, target->m_load.m_relativeHold);
+    }
+    running.m_otherRelativeHold = lowest;
+    return running;
+}
+
 void EntryCall::handleTimeout()
 {
     if (m_finished)
         return;
     // A pending attempt may have run, or may still run before its cancellation arrives.
-    if (m_running || m_mayHaveRun) {
+    if (!m_running.empty() || m_mayHaveRun) {
         refuse(Outcome::Timeout, 504, "timeout", {});
         return;
     }
@@ -268,15 +328,15 @@
         log(Outcome::Abandoned, 0, "the caller left", std::chrono::steady_clock::now());
 }
 
-void EntryCall::cancelAttempt()
+void EntryCall::cancelAttempts()
 {
-    if (!m_running)
-        return;
-    const Attempt running = *std::exchange(m_running, std::nullopt);
-    if (running.m_node.empty())
-        m_services.m_gate.cancel(running.m_number);
-    else
-        m_services.m_mesh.cancel(running.m_node, running.m_number);
+    const std::vector<Attempt> running = std::exchange(m_running, {});
+    for (const Attempt &attempt : running) {
+        if (attempt.m_node.empty())
+            m_services.m_gate.cancel(attempt.m_number);
+        else
+            m_services.m_mesh.cancel(attempt.m_node, attempt.m_number);
+    }
 }
 
 bool EntryCall::end(Outcome outcome)
@@ -286,7 +346,7 @@
     m_finished = true;
     m_services.m_calls.erase(shared_from_this());
     m_services.m_timers.cancel(m_deadlineTimer);
-    cancelAttempt();
+    cancelAttempts();
     ++m_services.m_counters.m_outcomes[static_cast<std::size_t>(outcome)];
     return true;
 }
@@ -309,6 +369,23 @@
     m_exchange->respond(std::move(response), traffic::isStopping(m_services.m_stop));
 }
 
+void EntryCall::logSecondAttempt(const traffic::RunningAttempt &attempt, TimePoint now)
+{
+    const std::string &node = m_running.front().m_node;
+    m_services.m_log.writeIfAllowed(
+            LogTopic::Run, adapters::LogLevel::Info,
+            {{"event", "second-attempt"},
+             {"request", m_entry.m_attempt},
+             {"route", m_entry.m_route->m_name},
+             {"service", m_entry.m_service},
+             {"first", node.empty() ? "local" : node},
+             {"age_ms", std::to_string(attempt.m_age.count() * 1e3)},
+             {"expected_ms", std::to_string(attempt.m_expectedHold.count() * 1e3)},
+             {"relative_hold", std::to_string(attempt.m_relativeHold)},
+             {"silent", attempt.m_isSilent ? "true" : "false"}},
+            now);
+}
+
 void EntryCall::log(Outcome outcome, int status, const std::string &reason, TimePoint now)
 {
     const LogTopic topic = outcome == Outcome::Served ? LogTopic::Request : LogTopic::Failure;
--- a/packages/relay/entry/entrycall.h
+++ b/packages/relay/entry/entrycall.h
@@ -46,6 +46,10 @@
     /** Sends a final response because the process is about to exit. */
     void abort();
 
+    /** Sends a second attempt to another node if the one that runs the first is doubtful.
+     * @see traffic::isDoubtful() */
+    void reconsider(std::chrono::steady_clock::time_point now);
+
     /** Ends the request with a response from the node itself.
      * @param retryAfter value of Retry-After; 0 omits the field. */
     void refuse(Outcome outcome, int status, const std::string &reason,
@@ -59,6 +63,7 @@
         /** Node that runs it; empty for this node. */
         std::string m_node;
         std::uint64_t m_number = 0;
+        TimePoint m_startedAt;
     };
 
     void attempt();
@@ -72,13 +77,19 @@
     /** Updates outlier detection for the node that ran an attempt; an empty name is this node. */
     void recordAttempt(const std::string &node, routing::AttemptResult result, TimePoint now);
     bool mayRetry(const Failure &failure, TimePoint now);
+    /** Takes a repeat from the budget if there is time for it and the route allows it.
+     * @param arrivals attempts that have reached a backend server. */
+    bool takeRepeat(int arrivals, TimePoint now);
+    bool hasTimeToRepeat(TimePoint now) const;
+    traffic::RunningAttempt describe(const Attempt &attempt, TimePoint now) const;
     void handleTimeout();
     void handleDisconnect();
-    void cancelAttempt();
-    /** Cancels the timer and the attempt and counts the outcome.
+    void cancelAttempts();
+    /** Cancels the timer and the attempts and counts the outcome.
      * @returns false if the request had ended before. */
     bool end(Outcome outcome);
     void finish(Outcome outcome, HttpResponse response, const std::string &reason);
+    void logSecondAttempt(const traffic::RunningAttempt &attempt, TimePoint now);
     void log(Outcome outcome, int status, const std::string &reason, TimePoint now);
     /** @returns the share of the target latency that the request may spend waiting for a slot. */
     double allowedWaitShare() const;
@@ -88,7 +99,8 @@
     std::shared_ptr<ServerExchange> m_exchange;
     EntryRequest m_entry;
     std::vector<std::string> m_tried;
-    std::optional<Attempt> m_running;
+    /** Attempts in progress; the first response of a backend server ends the request. */
+    std::vector<Attempt> m_running;
     TimerId m_deadlineTimer = 0;
     /** Number of attempts that reached a backend server. */
     int m_arrivals = 0;
--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -81,6 +81,15 @@
             std::min(std::chrono::duration_cast<std::chrono::nanoseconds>(expected), longest), now);
 }
 
+void EntryHandler::reconsiderCalls(TimePoint now)
+{
+    // Copied since a call that ends removes itself from the set.
+    const std::vector<std::shared_ptr<EntryCall>> calls(m_services.m_calls.begin(),
+                                                        m_services.m_calls.end());
+    for (const std::shared_ptr<EntryCall> &call : calls)
+        call->reconsider(now);
+}
+
 void EntryHandler::tokensArrived()
 {
     std::unordered_map<std::uint64_t, WaitingForTokens> waiting = std::exchange(m_waiting, {});
--- a/packages/relay/entry/entryhandler.h
+++ b/packages/relay/entry/entryhandler.h
@@ -23,6 +23,9 @@
      * have waited for it. */
     void releaseStartQueue() { m_startQueue.release(); }
 
+    /** Sends second attempts of requests whose first one is doubtful; to be called every 100 ms. */
+    void reconsiderCalls(std::chrono::steady_clock::time_point now);
+
     /** Called when tokens have arrived from another node: admits the waiting requests they cover.
      */
     void tokensArrived();
--- a/packages/relay/entry/entryservices.h
+++ b/packages/relay/entry/entryservices.h
@@ -11,6 +11,7 @@
 #include "routing/outlier/outlier.h"
 #include "traffic/allotment/rateshare.h"
 #include "traffic/retry/repeatbudget.h"
+#include "traffic/retry/secondattempt.h"
 #include "traffic/split/splitchooser.h"
 #include "traffic/stop/stop.h"
 
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -269,10 +269,10 @@
 {
     Run &run = m_runs.at(number);
     ++m_counters.m_runs;
+    run.m_sentAt = std::chrono::steady_clock::now();
     if (!run.m_resent)
-        traffic::recordFirstAttempt(m_resends, run.m_call.m_service);
+        traffic::recordFirstAttempt(m_resends, run.m_call.m_service, run.m_sentAt);
     run.m_sent = true;
-    run.m_sentAt = std::chrono::steady_clock::now();
     run.m_connection = connection;
     HttpRequest request = backendRequest(run, run.m_sentAt);
     connection->exchange(
@@ -339,7 +339,8 @@
     // The request may have reached the backend server before the reset and so arrive twice. It is
     // charged to a budget of its own, since the entry node does not see this retry.
     return run.m_call.m_idempotent && !run.m_resent
-            && traffic::takeRepeat(m_resends, run.m_call.m_service, run.m_call.m_priority == 0, {});
+            && traffic::takeRepeat(m_resends, run.m_call.m_service, run.m_call.m_priority == 0, {},
+                                   std::chrono::steady_clock::now());
 }
 
 CallResult LocalGate::classifyResponse(const Run &run, HttpResponse response)
--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -16,6 +16,9 @@
  * volume. */
 constexpr Milliseconds RegionStatusInterval{200};
 constexpr Milliseconds OtherRegionStatusInterval{1000};
+/** Status intervals without a frame after which a node is silent: a status is late by half its
+ * interval. */
+constexpr double SilentIntervals = 1.5;
 /** Status intervals without a frame after which a node gets no new calls, and after which its link
  * is retired. */
 constexpr int MissedUntilUnresponsive = 3;
@@ -117,6 +120,7 @@
                 std::min(statusInterval(peer->m_record) * MissedUntilRetired, MaximumSilence);
         if (peer->m_link && now - peer->m_lastReceivedAt > longest)
             retireLink(*peer, now);
+        peer->m_target.m_isSilent = isSilent(*peer, now);
         if (!peer->m_link && !peer->m_dialling && now >= peer->m_dial.m_nextAt)
             connect(*peer, now);
     }
@@ -536,6 +540,18 @@
             < std::min(statusInterval(peer.m_record) * MissedUntilUnresponsive, MaximumSilence);
 }
 
+bool Mesh::isSilent(const Peer &peer, TimePoint now) const
+{
+    return !peer.m_link
+            || now - peer.m_lastReceivedAt > statusInterval(peer.m_record) * SilentIntervals;
+}
+
+const Peer *Mesh::peerNamed(const std::string &node) const
+{
+    const auto found = m_peers.find(node);
+    return found == m_peers.end() ? nullptr : found->second.get();
+}
+
 std::chrono::milliseconds Mesh::statusInterval(const NodeRecord &other) const
 {
     return isInRegion(other) ? RegionStatusInterval : OtherRegionStatusInterval;
--- a/packages/relay/link/mesh.h
+++ b/packages/relay/link/mesh.h
@@ -140,6 +140,12 @@
      */
     bool isResponsive(const Peer &peer, TimePoint now) const;
 
+    /** @returns whether the node has missed a status, so that it may not answer. It is used only if
+     * there is no other. */
+    bool isSilent(const Peer &peer, TimePoint now) const;
+    /** @returns a node that is known, or nothing. */
+    const Peer *peerNamed(const std::string &node) const;
+
     /** @returns the number of other nodes that are known. */
     std::size_t knownPeers() const { return m_peers.size(); }
     /** @returns the number of other nodes that are linked. */
--- a/packages/relay/runtime/decisionsettings.cpp
+++ b/packages/relay/runtime/decisionsettings.cpp
@@ -74,9 +74,15 @@
 void readRepeats(ObjectReader &reader, traffic::RepeatBudgetSettings &settings)
 {
     readShare(reader, "ratio", settings.m_ratio);
-    readFactor(reader, "maximum", settings.m_maximum);
     readFactor(reader, "initial", settings.m_initial);
-    readFactor(reader, "keptForImportant", settings.m_keptForImportant);
+    readShare(reader, "keptForImportant", settings.m_keptForImportant);
+}
+
+void readSecondAttempts(ObjectReader &reader, traffic::SecondAttemptSettings &settings)
+{
+    readSwitch(reader, "enabled", settings.m_enabled);
+    readFactor(reader, "slowHold", settings.m_slowHold);
+    readFactor(reader, "slowAge", settings.m_slowAge);
 }
 
 void readRetryAfter(ObjectReader &reader, traffic::RetryAfterSettings &settings)
@@ -119,6 +125,7 @@
         read("queue", readQueue, settings.m_gate);
         read("placement", readPlacement, settings.m_placement);
         read("repeats", readRepeats, settings.m_repeats);
+        read("secondAttempts", readSecondAttempts, settings.m_secondAttempts);
         read("resends", readRepeats, settings.m_resends);
         read("retryAfter", readRetryAfter, settings.m_retryAfter);
         read("rates", readRates, settings.m_rates);
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -340,6 +340,7 @@
         return;
     const TimePoint now = std::chrono::steady_clock::now();
     m_mesh.tick(now);
+    m_entry.reconsiderCalls(now);
     if (m_mesh.linkedPeers() > 0)
         m_linkedAt = now;
     else
--- a/packages/relay/runtime/relaysettings.h
+++ b/packages/relay/runtime/relaysettings.h
@@ -5,6 +5,7 @@
 #include "traffic/gate/gate.h"
 #include "traffic/placement/placement.h"
 #include "traffic/retry/repeatbudget.h"
+#include "traffic/retry/secondattempt.h"
 #include "traffic/start/startwait.h"
 #include "traffic/stop/stop.h"
 #include "traffic/treeadmission/treeadmission.h"
@@ -74,6 +75,7 @@
     traffic::TreeAdmissionSettings m_treeAdmission;
     traffic::RetryAfterSettings m_retryAfter;
     traffic::RepeatBudgetSettings m_repeats;
+    traffic::SecondAttemptSettings m_secondAttempts;
     /** Budget for requests that are resent to the local backend server after a stale keep-alive
      * connection was reset. Together with m_repeats it stays below 0.2 repeats a request. */
     traffic::RepeatBudgetSettings m_resends{.m_ratio = 0.03, .m_keptForImportant = 0.0};
--- a/packages/relay/telemetry/counters.cpp
+++ b/packages/relay/telemetry/counters.cpp
@@ -31,6 +31,9 @@
                     static_cast<double>(counters.m_outcomes[index]));
     add("counter", "chervilmount_repeats_total", "Requests sent to a backend server again.",
         static_cast<double>(counters.m_repeats));
+    add("counter", "chervilmount_second_attempts_total",
+        "Attempts beside one that still runs at a doubtful node.",
+        static_cast<double>(counters.m_secondAttempts));
     add("counter", "chervilmount_runs_total",
         "Requests sent to the backend server beside the node.",
         static_cast<double>(counters.m_runs));
--- a/packages/relay/telemetry/counters.h
+++ b/packages/relay/telemetry/counters.h
@@ -43,6 +43,8 @@
     std::map<std::string, adapters::DurationHistogram> m_latencies;
     /** Requests sent to a backend server again. */
     std::uint64_t m_repeats = 0;
+    /** Repeats beside an attempt that still runs at a doubtful node. */
+    std::uint64_t m_secondAttempts = 0;
     std::uint64_t m_runs = 0;
     std::uint64_t m_runsRefused = 0;
     std::uint64_t m_storeCalls = 0;
--- a/packages/traffic/placement/placement.cpp
+++ b/packages/traffic/placement/placement.cpp
@@ -100,7 +100,7 @@
         if (std::find(request.m_tried.begin(), request.m_tried.end(), target.m_node)
             != request.m_tried.end())
             continue;
-        if (routing::isEjected(target.m_outlier, now))
+        if (target.m_isSilent || routing::isEjected(target.m_outlier, now))
             ejected.push_back(index);
         else
             byPlace.at(static_cast<std::size_t>(target.m_place)).push_back(index);
--- a/packages/traffic/placement/placement.h
+++ b/packages/traffic/placement/placement.h
@@ -61,6 +61,8 @@
     TargetLoad m_load;
     /** Calls sent there since the load was reported. */
     int m_sentSinceReport = 0;
+    /** The node has missed a status. */
+    bool m_isSilent = false;
     routing::OutlierState m_outlier;
 };
 
@@ -85,7 +87,7 @@
 
 /**
  * Selects the target with the lowest expected latency, where a hop to another node, failure domain
- * or region counts as an additional wait. Ejected targets are selected only if all are ejected.
+ * or region counts as an additional wait. Ejected and silent targets are selected only if all are.
  * @returns nothing if there is no target left.
  * @see Mitzenmacher: How useful is old information? (2000), on load balancing with stale reports
  */
--- a/packages/traffic/traffic.h
+++ b/packages/traffic/traffic.h
@@ -19,6 +19,7 @@
 #include "traffic/policy/policyindex.h"
 #include "traffic/profile/callprofile.h"
 #include "traffic/retry/repeatbudget.h"
+#include "traffic/retry/secondattempt.h"
 #include "traffic/split/splitchooser.h"
 #include "traffic/start/startwait.h"
 #include "traffic/stop/stop.h"
--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -209,3 +209,53 @@
     // It may have run.
     CHECK(test.m_response->m_status == 502);
 }
+
+// Guards against callers that wait for a node whose machine has lost power although others could
+// answer: a node was noticed after 0.6 s, nested calls have 0.7 s, and their callers failed.
+TEST_CASE("An idempotent request at a silent node is sent to another one as well")
+{
+    SilenceCase test;
+    FleetNode &other = test.m_fleet.addNode("n2", "slipdesk");
+    test.send("/slips/1");
+    REQUIRE(test.m_fleet.runUntil([&other] { return other.m_node->policyVersion() == 1; }));
+    test.m_fleet.announce(other);
+    REQUIRE(test.m_fleet.runUntil([&test] { return test.m_response.has_value(); }, 1500ms));
+    CHECK(test.m_response->m_status == 200);
+    CHECK(test.m_response->m_body != "late but whole");
+    // The first attempt is cancelled only once there is an answer.
+    REQUIRE(test.m_fleet.runUntil([&test] { return !test.m_quiet.m_cancelled.empty(); }, 500ms));
+    CHECK(other.m_backend->runs("a1") == 1);
+}
+
+TEST_CASE("A once-only request at a silent node is not sent to another one")
+{
+    SilenceCase test;
+    FleetNode &other = test.m_fleet.addNode("n2", "slipdesk");
+    test.send("/orders/1");
+    REQUIRE(test.m_fleet.runUntil([&other] { return other.m_node->policyVersion() == 1; }));
+    test.m_fleet.announce(other);
+    test.m_fleet.runFor(1200ms);
+    CHECK_FALSE(test.m_response);
+    CHECK(other.m_backend->runs("a1") == 0);
+    test.m_quiet.answer(test.m_quiet.m_calls.front());
+    REQUIRE(test.m_fleet.runUntil([&test] { return test.m_response.has_value(); }));
+    CHECK(test.m_response->m_body == "late but whole");
+}
+
+// Guards against an answer that is lost because the other attempt has failed first.
+TEST_CASE("The answer of a silent node is passed on if the second attempt fails")
+{
+    SilenceCase test;
+    FleetNode &other = test.m_fleet.addNode("n2", "slipdesk");
+    other.m_backend->m_faults.m_resets = true;
+    test.send("/slips/1");
+    REQUIRE(test.m_fleet.runUntil([&other] { return other.m_node->policyVersion() == 1; }));
+    test.m_fleet.announce(other);
+    REQUIRE(test.m_fleet.runUntil([&other] { return other.m_backend->runs("a1") > 0; }, 1500ms));
+    test.m_fleet.runFor(200ms);
+    CHECK_FALSE(test.m_response);
+    test.m_quiet.answer(test.m_quiet.m_calls.front());
+    REQUIRE(test.m_fleet.runUntil([&test] { return test.m_response.has_value(); }));
+    CHECK(test.m_response->m_status == 200);
+    CHECK(test.m_response->m_body == "late but whole");
+}
--- a/tests/traffic/placement_test.cpp
+++ b/tests/traffic/placement_test.cpp
@@ -246,6 +246,15 @@
 }
 
 // Guards against a backend server that fails fast and therefore attracts all calls.
+TEST_CASE("A silent target is used only if there is no other")
+{
+    Targets targets;
+    targets.add("silent", routing::Place::SameFailureDomain, 0, 0.1).m_isSilent = true;
+    targets.add("far", routing::Place::OtherRegion, 5, 0.1);
+    CHECK(targets.choose() == "far");
+    CHECK(targets.choose({"far"}) == "silent");
+}
+
 TEST_CASE("An ejected target is used only if there is no other")
 {
     Targets targets;
