Count a failed answer beside a second attempt as an arrival

The first attempt was answered with a failure of the backend server while the second one ran; that answer was not counted, and another attempt was sent when the second node was silent too.

Change: the failed answer counts. The test needs two silent nodes and a third one; it fails with the earlier code.

--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -197,6 +197,7 @@
     // The other attempt may still be served.
     if (answer.m_status >= 500 && !m_running.empty()) {
         m_mayHaveRun = true;
+        ++m_arrivals;
         return;
     }
     HttpResponse response = makeResponse(answer.m_status, std::move(answer.m_body));
--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -9,6 +9,8 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 using namespace std::chrono_literals;
@@ -20,8 +22,9 @@
 class QuietNode
 {
 public:
-    explicit QuietNode(Fleet &fleet)
+    explicit QuietNode(Fleet &fleet, std::string name = "quiet")
         : m_fleet(fleet)
+        , m_name(std::move(name))
         , m_address(freeAddress(fleet.m_context))
         , m_acceptor(fleet.m_context, relay::parseEndpoint(m_address))
     {
@@ -40,7 +43,7 @@
     relay::NodeRecord record() const
     {
         relay::NodeRecord record;
-        record.m_node = "quiet";
+        record.m_node = m_name;
         record.m_address = m_address;
         record.m_failureDomain = "zone-a";
         record.m_region = "region-a";
@@ -71,11 +74,12 @@
         }
     }
 
-    void answer(const relay::Call &call)
+    void answer(const relay::Call &call, int status = 200)
     {
         relay::Answer answer;
         answer.m_id = call.m_id;
-        answer.m_status = 200;
+        answer.m_status = status;
+        answer.m_load.m_limit = 10;
         answer.m_fields = {{"X-Chervilmount-Server-Seal", "seal"},
                            {"X-Chervilmount-Attempt-Id", call.m_attempt}};
         answer.m_body = "late but whole";
@@ -118,6 +122,7 @@
     }
 
     Fleet &m_fleet;
+    std::string m_name;
     std::string m_address;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::vector<std::shared_ptr<relay::FrameConnection>> m_links;
@@ -259,3 +264,35 @@
     CHECK(test.m_response->m_status == 200);
     CHECK(test.m_response->m_body == "late but whole");
 }
+
+// Guards against a request that runs on more backend servers than its route allows: a failed answer
+// beside a second attempt was not counted, and a third one was sent.
+TEST_CASE("A request with a second attempt is sent to no more nodes than its route allows")
+{
+    SilenceCase test;
+    FleetNode &entry = *test.m_fleet.m_nodes[0];
+    // Earns more than one repeat.
+    for (int request = 0; request < 30; ++request) {
+        test.send("/slips/1");
+        test.m_quiet.answer(test.m_quiet.m_calls.front());
+        test.m_quiet.m_calls.clear();
+        REQUIRE(test.m_fleet.runUntil([&test] { return test.m_response.has_value(); }));
+        test.m_response.reset();
+        test.m_caller->close();
+    }
+    test.send("/slips/1");
+    QuietNode second(test.m_fleet, "quieter");
+    second.greet(entry.m_settings.m_relay.m_peerAddress);
+    REQUIRE(test.m_fleet.runUntil([&entry] { return entry.m_node->linkedPeers() == 2; }));
+    second.report(200ms);
+    REQUIRE(test.m_fleet.runUntil([&second] { return second.m_calls.size() == 1; }, 1000ms));
+    FleetNode &third = test.m_fleet.addNode("n3", "slipdesk");
+    REQUIRE(test.m_fleet.runUntil([&third] { return third.m_node->policyVersion() == 1; }));
+    test.m_fleet.announce(third);
+    test.m_quiet.answer(test.m_quiet.m_calls.front(), 500);
+    test.m_fleet.runFor(800ms);
+    CHECK(third.m_backend->runs("a1") == 0);
+    second.answer(second.m_calls.front());
+    REQUIRE(test.m_fleet.runUntil([&test] { return test.m_response.has_value(); }));
+    CHECK(test.m_response->m_status == 200);
+}
