Notice backend servers that have turned slow or are gone

Cause: a backend server that turns slow was noticed only when its requests reached their time limits, and these failures did not count as hold times.

Change: the node beside a backend server compares the runs that end with those that should (traffic/placement/completionmeter); two failed attempts to connect take a backend server out of use until it announces itself. Both are logged (backend-server-slow, backend-server-usual-pace, effect=gone).

--- a/packages/relay/control/backendtracker.cpp
+++ b/packages/relay/control/backendtracker.cpp
@@ -29,9 +29,16 @@
     , m_log(log)
 {
     m_gate.m_onInstanceGone = [this] {
-        // The successor announces itself; until then there is no backend server to send work to.
+        // It announces itself again if it still runs, and so does a successor; until then there is
+        // no backend server to send work to.
         m_instances.m_usable = false;
         m_gate.stopNewRuns();
+        m_log.writeIfAllowed(
+                LogTopic::State, adapters::LogLevel::Warn,
+                {{"event", "backend-server"},
+                 {"instance", m_instances.m_current ? m_instances.m_current->m_id : ""},
+                 {"effect", "gone"}},
+                std::chrono::steady_clock::now());
         if (m_onChanged)
             m_onChanged();
     };
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -18,6 +18,8 @@
 /** Runs with less time left are refused, since the backend server could not finish them in time. */
 constexpr std::chrono::milliseconds MinRunTime{5};
 constexpr std::chrono::milliseconds StatusCheckTimeout{400};
+/** Failed attempts to connect in a row after which the backend server is no longer used. */
+constexpr int ConnectFailuresUntilGone = 2;
 /** A stale connection, which the backend server has closed or dropped, is reset within this time of
  * the send. Long enough for a busy machine, too short for a run to get far. */
 constexpr std::chrono::milliseconds StaleResetWindow{50};
@@ -63,8 +65,10 @@
         m_pool.clear();
         m_gate.m_holdSeconds = 0.0;
         m_relativeHold = {};
+        m_completions.m_expected = m_completions.m_completed = 0.0;
     }
     m_pool.setAddress(instance.m_address);
+    m_connectFailures = 0;
     m_instance = instance;
     m_gate.m_slots = instance.m_slots;
     m_usable = true;
@@ -188,10 +192,22 @@
     load.m_running = m_gate.m_running;
     load.m_waiting = static_cast<int>(m_gate.m_queue.m_size);
     load.m_holdSeconds = m_gate.m_holdSeconds;
-    load.m_relativeHold = m_relativeHold.m_value;
+    load.m_relativeHold = relativeHold(std::chrono::steady_clock::now());
     return load;
 }
 
+double LocalGate::relativeHold(TimePoint now) const
+{
+    if (!traffic::completesTooFew(m_relativeHold, m_completions, now))
+        return m_relativeHold.m_value;
+    double longest = 0.0;
+    for (const auto &[number, run] : m_runs) {
+        if (run.m_running && run.m_expectedHold.count() > 0)
+            longest = std::max(longest, (now - run.m_startedAt) / run.m_expectedHold);
+    }
+    return traffic::currentRelativeHold(m_relativeHold, m_completions, longest, now);
+}
+
 void LocalGate::checkStatus(
         const std::string &healthPath,
         std::function<void(std::optional<traffic::InstanceAnnouncement>)> callback)
@@ -235,6 +251,9 @@
     const TimePoint now = std::chrono::steady_clock::now();
     run.m_running = true;
     run.m_startedAt = now;
+    if (m_expectedHold)
+        run.m_expectedHold = m_expectedHold(run.m_call.m_route);
+    traffic::startMeteredRun(m_completions, run.m_expectedHold, now);
     ++m_active[run.m_call.m_route];
     m_timers.cancel(run.m_timer);
     run.m_forwardedDeadline = traffic::enterRun(m_lineage, number, run.m_deadline);
@@ -246,6 +265,7 @@
 void LocalGate::connectRun(std::uint64_t number, bool newConnection)
 {
     m_pool.acquire(newConnection, [this, number](std::shared_ptr<HttpClientConnection> connection) {
+        recordConnect(connection != nullptr);
         const auto found = m_runs.find(number);
         if (found == m_runs.end()) {
             if (connection)
@@ -265,6 +285,18 @@
     });
 }
 
+void LocalGate::recordConnect(bool connected)
+{
+    if (connected) {
+        m_connectFailures = 0;
+        return;
+    }
+    // A backend server that has crashed does not announce it. Without running requests it would
+    // look like the best one to all nodes. It is used again once it announces itself.
+    if (++m_connectFailures == ConnectFailuresUntilGone && m_usable && m_onInstanceGone)
+        m_onInstanceGone();
+}
+
 void LocalGate::send(std::uint64_t number, std::shared_ptr<HttpClientConnection> connection)
 {
     Run &run = m_runs.at(number);
@@ -410,10 +442,7 @@
             || std::get<Failure>(result).m_reason == FailureReason::Timeout;
     const TimePoint now = std::chrono::steady_clock::now();
     const std::chrono::nanoseconds held = now - run.m_startedAt;
-    const Answer *servedAnswer = std::get_if<Answer>(&result);
-    // Failures end early and would bias the average run time downwards.
-    if (servedAnswer != nullptr && servedAnswer->m_status < 500 && m_expectedHold)
-        traffic::recordHold(m_relativeHold, held, m_expectedHold(run.m_call.m_route), now);
+    recordHold(run, result, held, now);
     traffic::finishRun(m_gate, ran ? held : std::chrono::nanoseconds{0});
     // Failed runs count as well, since they have held a slot and made nested calls.
     if (run.m_sent) {
@@ -433,6 +462,20 @@
     startWaiting();
 }
 
+void LocalGate::recordHold(const Run &run, const CallResult &result, std::chrono::nanoseconds held,
+                           TimePoint now)
+{
+    const Answer *answer = std::get_if<Answer>(&result);
+    const bool isServed = answer != nullptr && answer->m_status < 500;
+    traffic::endMeteredRun(m_completions, run.m_expectedHold, held, isServed, now);
+    // Failures that end early would bias the average run time downwards. One that has lasted much
+    // longer than a usual run, e.g. until its deadline, shows a slow backend server.
+    constexpr double LongFailure = 2.0;
+    const double pace = m_relativeHold.m_value > 0 ? m_relativeHold.m_value : 1.0;
+    if (isServed || held > run.m_expectedHold * pace * LongFailure)
+        traffic::recordHold(m_relativeHold, held, run.m_expectedHold, now);
+}
+
 void LocalGate::startWaiting()
 {
     while (const std::optional<std::uint64_t> next =
--- a/packages/relay/inbound/localgate.h
+++ b/packages/relay/inbound/localgate.h
@@ -10,6 +10,7 @@
 #include "traffic/gate/gate.h"
 #include "traffic/instance/instanceregister.h"
 #include "traffic/lineage/lineage.h"
+#include "traffic/placement/completionmeter.h"
 #include "traffic/placement/relativehold.h"
 #include "traffic/profile/callprofile.h"
 #include "traffic/retry/repeatbudget.h"
@@ -88,7 +89,8 @@
     void checkStatus(const std::string &healthPath,
                      std::function<void(std::optional<traffic::InstanceAnnouncement>)> callback);
 
-    /** Called when the backend server responds that it is not the expected instance. */
+    /** Called when the backend server responds that it is not the expected instance, or when
+     * connections to it fail in a row. */
     std::function<void()> m_onInstanceGone;
     /** @returns the average time that a run of the route holds a slot, over all backend servers; 0
      * if unknown. */
@@ -101,6 +103,8 @@
         CallResponder m_responder;
         TimePoint m_deadline;
         TimePoint m_startedAt;
+        /** Expected hold time of the route when the run started; 0 if unknown. */
+        std::chrono::duration<double> m_expectedHold{0.0};
         /** When the request was last sent to the backend server. */
         TimePoint m_sentAt;
         /** Deadline that was sent to the backend server. */
@@ -116,6 +120,8 @@
 
     void start(std::uint64_t number);
     void connectRun(std::uint64_t number, bool newConnection);
+    /** Counts attempts to connect; a backend server that cannot be reached is no longer used. */
+    void recordConnect(bool connected);
     void send(std::uint64_t number, std::shared_ptr<HttpClientConnection> connection);
     HttpRequest backendRequest(const Run &run, TimePoint now) const;
     void exchangeEnded(std::uint64_t number, ExchangeResult result);
@@ -125,6 +131,11 @@
     void handleTimeout(std::uint64_t number);
     /** Removes the run, frees its slot and starts the next ones. */
     void finish(std::uint64_t number, CallResult result);
+    /** Updates the pace of the backend server when a run has ended. */
+    void recordHold(const Run &run, const CallResult &result, std::chrono::nanoseconds held,
+                    TimePoint now);
+    /** @returns the pace of the backend server, including what the runs in progress show. */
+    double relativeHold(TimePoint now) const;
     void startWaiting();
     void respond(Run &run, CallResult result);
     void logFailure(const Run &run, const Failure &failure);
@@ -136,6 +147,7 @@
     BoundedLog &m_log;
     BackendPool m_pool;
     traffic::RelativeHold m_relativeHold;
+    traffic::CompletionMeter m_completions;
     traffic::Gate m_gate;
     traffic::RepeatBudget m_resends;
     traffic::Lineage m_lineage;
@@ -145,6 +157,8 @@
     overload::NameTable m_organisations;
     std::optional<traffic::InstanceAnnouncement> m_instance;
     bool m_usable = false;
+    /** Attempts to connect that have failed in a row. */
+    int m_connectFailures = 0;
     std::uint64_t m_lastRun = 0;
     std::unordered_map<std::uint64_t, Run> m_runs;
 };
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -346,6 +346,7 @@
     else
         m_linkedSince = now;
     m_loads.update(m_mesh, m_backend.instances(), now);
+    logPace();
     recordProfile(now);
     updateRateSharers(now);
     updateFollowing(now);
@@ -480,6 +481,22 @@
                  {"peers_known", std::to_string(m_mesh.knownPeers())}});
 }
 
+void RelayNode::logPace()
+{
+    const traffic::TargetLoad load = m_gate.load();
+    const double limit = m_settings.m_secondAttempts.m_slowHold;
+    // Returns only well below the limit, so that a value near it is not logged again and again.
+    constexpr double UsualShare = 0.5;
+    const bool isSlow = load.m_relativeHold >= limit * (m_wasSlow ? UsualShare : 1.0);
+    if (isSlow == m_wasSlow)
+        return;
+    m_wasSlow = isSlow;
+    logState(isSlow ? "backend-server-slow" : "backend-server-usual-pace",
+             {{"relative_hold", std::to_string(load.m_relativeHold)},
+              {"running", std::to_string(load.m_running)},
+              {"waiting", std::to_string(load.m_waiting)}});
+}
+
 void RelayNode::logShedding(TimePoint now)
 {
     for (const auto &[service, state] : m_loads.admission().m_services) {
--- a/packages/relay/runtime/relaynode.h
+++ b/packages/relay/runtime/relaynode.h
@@ -83,6 +83,8 @@
     void abortRequests();
     void logReadiness(TimePoint now);
     void logShedding(TimePoint now);
+    /** Logs when the local backend server has turned slow, and when its pace is usual again. */
+    void logPace();
     void updateRateSharers(TimePoint now);
     void updateFollowing(TimePoint now);
     void requestPolicy(const std::string &node, std::uint64_t version);
@@ -132,6 +134,7 @@
     /** Number of runs in the profile that was stored last. */
     double m_recordedRuns = 0.0;
     bool m_wasReady = false;
+    bool m_wasSlow = false;
     bool m_stopped = false;
 };
 
--- a/packages/traffic/traffic.h
+++ b/packages/traffic/traffic.h
@@ -14,6 +14,7 @@
 #include "traffic/gate/gate.h"
 #include "traffic/instance/instanceregister.h"
 #include "traffic/lineage/lineage.h"
+#include "traffic/placement/completionmeter.h"
 #include "traffic/placement/placement.h"
 #include "traffic/placement/relativehold.h"
 #include "traffic/policy/policyindex.h"
--- a/tests/platform/lifecycle_test.cpp
+++ b/tests/platform/lifecycle_test.cpp
@@ -467,3 +467,21 @@
     CHECK(statuses == std::set<int>{401});
     CHECK(restarted.m_node->policyVersion() == 2);
 }
+
+// Guards against a backend server that has crashed without a word and, since nothing runs there,
+// looks like the best one to all nodes: each request was first placed there, for 24 seconds.
+TEST_CASE("A backend server that refuses connections is not used until it announces itself")
+{
+    Fleet fleet;
+    REQUIRE(fleet.startTwo());
+    FleetNode &first = *fleet.m_nodes[0];
+    FleetNode &second = *fleet.m_nodes[1];
+    first.m_backend->crash();
+    for (int request = 0; request < 10; ++request)
+        CHECK(fleet.request(first, {}, "a" + std::to_string(request)).m_status == 200);
+    CHECK(second.m_backend->m_runs.size() == 10);
+    const std::string metrics = first.m_node->metrics();
+    // Two failures tell; further requests do not try it.
+    CHECK(metrics.find("chervilmount_runs_refused_total 0") != std::string::npos);
+    CHECK(fleet.announce(first) == 200);
+}
--- a/tests/platform/standin/backend.h
+++ b/tests/platform/standin/backend.h
@@ -55,6 +55,9 @@
     Backend(const Backend &) = delete;
     Backend &operator=(const Backend &) = delete;
 
+    /** Stops listening and closes all connections, like a process that has crashed. */
+    void crash() { m_server.abort(); }
+
     const std::string &address() const { return m_address; }
     const std::string &id() const { return m_id; }
 
