--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -387,7 +387,15 @@
         return m_listener.start(ip, port, [this](std::shared_ptr<Connection> connection) {
             Message request;
             while (connection->read(request, 600000) == ReadResult::Whole) {
-                if (!connection->send(handle(request)))
+                const int outages = m_outages;
+                const std::string answer = m_silent ? std::string() : handle(request);
+                if (m_silent || outages != m_outages) {
+                    // The response is lost; this connection delivers nothing further.
+                    while (!connection->peerGone())
+                        sleepMs(100);
+                    return;
+                }
+                if (!connection->send(answer))
                     return;
             }
         });
@@ -400,6 +408,14 @@
         set(table, key, base64(value));
     }
 
+    /** Gives no response to the calls that are pending or arrive until resume(). */
+    void fallSilent()
+    {
+        ++m_outages;
+        m_silent = true;
+    }
+    void resume() { m_silent = false; }
+
     /** Answers take this long. */
     std::atomic<int> m_answerMs{4};
     std::atomic<int> m_calls{0};
@@ -511,6 +527,8 @@
     }
 
     Listener m_listener;
+    std::atomic<bool> m_silent{false};
+    std::atomic<int> m_outages{0};
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, std::map<std::string, Row>> m_tables;
