--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -414,7 +414,14 @@
         ++m_outages;
         m_silent = true;
     }
-    void resume() { m_silent = false; }
+    void resume()
+    {
+        m_silent = false;
+        m_refuses = false;
+    }
+
+    /** Answers all calls with 503 until resume(); nothing is done. */
+    void refuse() { m_refuses = true; }
 
     /** Answers take this long. */
     std::atomic<int> m_answerMs{4};
@@ -452,6 +459,8 @@
     std::string handle(const Message &request)
     {
         ++m_calls;
+        if (m_refuses)
+            return response(503, "", "");
         const std::string target = request.target();
         const std::string path = target.substr(0, target.find('?'));
         const std::map<std::string, std::string> query = queryOf(target);
@@ -528,6 +537,7 @@
 
     Listener m_listener;
     std::atomic<bool> m_silent{false};
+    std::atomic<bool> m_refuses{false};
     std::atomic<int> m_outages{0};
     std::mutex m_mutex;
     std::condition_variable m_changed;
@@ -633,6 +643,24 @@
     }
 
     const std::string &service() const { return m_service; }
+    /** Leaves without a word before: it still serves, but sends no more pings. @returns the status
+     * of the response. */
+    int leave(int controlPort)
+    {
+        m_pings = false;
+        m_draining = true;
+        Connection connection;
+        if (!connection.dial(m_ip, controlPort))
+            return 0;
+        const std::string body = json::serialize(json::object{{"born", m_born}});
+        connection.send("DELETE /instances/" + m_id + " HTTP/1.1\r\nHost: " + m_ip
+                        + "\r\nContent-Type: application/json\r\nConnection: close\r\n"
+                          "Content-Length: "
+                        + std::to_string(body.size()) + "\r\n\r\n" + body);
+        Message answer;
+        return connection.read(answer, 1000) == ReadResult::Whole ? answer.status() : 0;
+    }
+
     std::string address() const { return m_ip + ":" + std::to_string(m_port); }
 
     int m_slots = 54;
