--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -5,45 +5,15 @@
 
 namespace {
 
-constexpr const char *Key = "6wsjnbanfqasnmgkcuyj";
+constexpr const char *KeptKey = "6wsjnbanfqasnmgkcuyj";
+constexpr const char *WithdrawnKey = "8pjbvk9m68k7b2ex5wa5";
 constexpr const char *Host = "hulo84.example";
-constexpr int Downloads = 140;
-constexpr int DownloadBytes = 5000000;
-constexpr int BudgetMs = 10000;
-/** Windows are small. */
-constexpr int ReceiveBuffer = 65536;
-/** What a slow client reads a second; it has read all within its time budget. */
-constexpr int SlowBytesPerSecond = 600000;
-
-struct Order
-{
-    std::string m_attempt;
-    ReadResult m_result = ReadResult::Timeout;
-    int m_status = 0;
-};
-
-/** Reads an answer of DownloadBytes steadily. @returns whether it was whole. */
-bool readSlowly(int handle, std::int64_t until)
-{
-    std::string head;
-    std::size_t total = 0;
-    while (nowMs() < until) {
-        char bytes[16384];
-        const ssize_t got = recv(handle, bytes, sizeof(bytes), 0);
-        if (got <= 0)
-            return false;
-        total += static_cast<std::size_t>(got);
-        if (head.size() < 4096)
-            head.append(bytes, static_cast<std::size_t>(got));
-        if (head.rfind("HTTP/1.1 200", 0) != 0)
-            return false;
-        const std::size_t end = head.find("\r\n\r\n");
-        if (end != std::string::npos && total >= end + 4 + DownloadBytes)
-            return true;
-        sleepMs(got * 1000 / SlowBytesPerSecond);
-    }
-    return false;
-}
+constexpr int OutageMs = 4500;
+/** Bounds of the pages: contact_s, and the longest of config_apply_s (2 s) and revoke_s (5 s) with
+ * max_stretch_s (5 s) on top, though the store has long been stable again. */
+constexpr int ContactMs = 3000;
+constexpr int LatestMs = 5000 + 5000;
+constexpr int BeforeChangeMs = ContactMs + 1000;
 
 } // namespace
 
@@ -56,107 +26,76 @@
         return 2;
     g_record.open(std::string(argv[1]) + "/record.txt");
     Deployment deployment;
-    if (!deployment.prepare(root, argv[2], 4))
+    if (!deployment.prepare(root, argv[2], 3))
         return 2;
     deployment.addMachine("portal", "boston-a", "boston");
-    deployment.addMachine("bundler", "boston-a", "boston");
-    deployment.addMachine("desk", "boston-b", "boston");
-    deployment.addMachine("bundler", "boston-b", "boston");
-    deployment.m_store.put("op", "config",
-                           config(7,
-                                  {{"bundle", Host, "/bundles/", "download", 20, 5, "bundler"},
-                                   {"order", Host, "/visits/", "non_idempotent", 20, 2, "desk"}},
-                                  {"portal", "bundler", "desk"}, {Key}));
+    deployment.addMachine("stock", "boston-a", "boston");
+    deployment.addMachine("stock", "boston-b", "boston");
+    const std::vector<RouteRow> routes{{"lookup", Host, "/stock/", "idempotent", 10, 2, "stock"}};
+    const std::vector<std::string> services{"portal", "stock"};
+    deployment.m_store.put("op", "config", config(7, routes, services, {KeptKey, WithdrawnKey}));
     if (!deployment.start()) {
         deployment.endAll();
         return 2;
     }
-    sleepMs(5000);
-    Machine &entry = *deployment.m_machines.front();
-    std::atomic<bool> done{false};
-    double peak = 0;
-    bool killed = false;
-    // The platform kills a process that exceeds its memory, and starts it again.
-    std::thread watch([&] {
-        while (!done) {
-            const double memory = Deployment::memoryMb(entry);
-            peak = std::max(peak, memory);
-            if (memory > deployment.m_memoryMb && !killed) {
-                g_record.line("kill    node %s: %.0f MB of %d", entry.m_name.c_str(), memory,
-                              deployment.m_memoryMb);
-                killed = true;
-                deployment.signalNode(entry, SIGKILL);
-                sleepMs(300);
-                ++entry.m_restarts;
-                deployment.startNode(entry);
-            }
-            sleepMs(2);
-        }
-    });
-    std::vector<Order> orders(10);
-    std::vector<std::thread> clients;
-    for (Order &order : orders) {
-        clients.emplace_back([&] {
-            Connection connection;
-            Message answer;
-            if (!connection.dial(entry.m_ip, deployment.outboundPort()))
-                return;
-            connection.send(requestText("POST", Host, "/visits/book?work=20", newAttempt(), 5000,
-                                        Key, "first"));
-            if (connection.read(answer, 5000) != ReadResult::Whole || answer.status() != 200)
-                return;
-            order.m_attempt = newAttempt();
-            connection.send(requestText("POST", Host, "/visits/book?work=9000", order.m_attempt,
-                                        12000, Key, "second"));
-            g_record.line("sent    %s order", order.m_attempt.c_str());
-            order.m_result = connection.read(answer, 12500);
-            order.m_status = order.m_result == ReadResult::Whole ? answer.status() : 0;
-            g_record.line("answer  %s order: %d%s", order.m_attempt.c_str(), order.m_status,
-                          order.m_status == 0 ? " (connection ended)" : "");
-        });
+    sleepMs(4000);
+    if (hasTrouble()) {
+        g_record.line("store   gives no response for %d ms", OutageMs);
+        deployment.m_store.fallSilent();
     }
-    sleepMs(500);
-    std::atomic<int> whole{0};
-    for (int download = 0; download < Downloads; ++download) {
-        clients.emplace_back([&] {
-            Connection connection;
-            const std::string attempt = newAttempt();
-            g_record.line("sent    %s download", attempt.c_str());
-            if (!connection.dial(entry.m_ip, deployment.outboundPort(), 1000, ReceiveBuffer)
-                || !connection.send(requestText(
-                        "GET", Host, "/bundles/1?work=20&bytes=" + std::to_string(DownloadBytes),
-                        attempt, BudgetMs, Key)))
-                return;
-            bool got = false;
-            if (hasTrouble()) {
-                got = readSlowly(connection.handle(), nowMs() + BudgetMs);
-            } else {
+    sleepMs(OutageMs);
+    deployment.m_store.resume();
+    g_record.line("store   answers");
+    sleepMs(BeforeChangeMs);
+    deployment.m_store.put("op", "config", config(9, routes, services, {KeptKey}));
+    const std::int64_t acknowledgedAt = nowMs();
+    g_record.line("config  r9 without the second key is acknowledged");
+    int late = 0;
+    int refused = 0;
+    int served = 0;
+    int other = 0;
+    std::int64_t lastServed = 0;
+    const std::int64_t until = acknowledgedAt + 25000;
+    while (nowMs() < until) {
+        for (const auto &machine : deployment.m_machines) {
+            for (const char *key : {WithdrawnKey, KeptKey}) {
+                Connection connection;
                 Message answer;
-                got = connection.read(answer, BudgetMs) == ReadResult::Whole
-                        && answer.status() == 200;
+                const std::string attempt = newAttempt();
+                const std::int64_t sentAt = nowMs();
+                if (!connection.dial(machine->m_ip, deployment.outboundPort())
+                    || !connection.send(
+                            requestText("GET", Host, "/stock/1?work=5", attempt, 2000, key))
+                    || connection.read(answer, 2000) != ReadResult::Whole) {
+                    ++other;
+                    continue;
+                }
+                g_record.line("answer  %s at %s with %s key: %d, sent %.1f s after the change",
+                              attempt.c_str(), machine->m_name.c_str(),
+                              key == WithdrawnKey ? "the withdrawn" : "a valid", answer.status(),
+                              (sentAt - acknowledgedAt) / 1000.0);
+                if (key == KeptKey) {
+                    served += answer.status() == 200 ? 1 : 0;
+                    continue;
+                }
+                refused += answer.status() == 401 ? 1 : 0;
+                if (answer.status() == 200 && runsOf(attempt) > 0
+                    && sentAt > acknowledgedAt + LatestMs) {
+                    ++late;
+                    lastServed = sentAt - acknowledgedAt;
+                }
             }
-            whole += got ? 1 : 0;
-            g_record.line("answer  %s download: %s", attempt.c_str(), got ? "whole" : "not whole");
-        });
-        sleepMs(20);
+        }
+        sleepMs(400);
     }
-    for (std::thread &client : clients)
-        client.join();
-    done = true;
-    watch.join();
     deployment.endAll();
-    int lost = 0;
-    for (const Order &order : orders) {
-        if (order.m_attempt.empty())
-            return 2;
-        if (runsOf(order.m_attempt) > 0 && order.m_status == 0
-            && order.m_result != ReadResult::Timeout)
-            ++lost;
-    }
-    g_record.line("result  peak memory %.0f MB, killed %s, downloads whole %d of %d, orders passed "
-                  "on and not answered: %d of %zu",
-                  peak, killed ? "yes" : "no", whole.load(), Downloads, lost, orders.size());
-    std::printf("peak %.0f MB, killed %d, downloads whole %d of %d, lost %d\n", peak, killed,
-                whole.load(), Downloads, lost);
-    finish(lost > 3 ? 1 : 0);
+    g_record.line("result  requests with the withdrawn key that ran too late: %d, the last sent "
+                  "%.1f s after the acknowledgement; refused with 401: %d; valid key served: %d; "
+                  "other: %d",
+                  late, lastServed / 1000.0, refused, served, other);
+    std::printf("ran too late %d, the last %.1f s after the acknowledgement; refused %d\n", late,
+                lastServed / 1000.0, refused);
+    if (served == 0)
+        finish(2);
+    finish(late > 0 ? 1 : 0);
 }
