Repeat a long poll that the store has dropped within the contact bound

Cause: the store had dropped the long polls and kept their connections open. Each poll waited for its own timeout, 25 s and 3 s. Nothing else shows the loss: keep-alive probes are acknowledged, and m_reachable counts only calls that have ended, so that no other node took over.

Ruled out: waits between repeats (2 s at most), a version that is received and not applied, nodes that depend on others (all three follow the policy).

--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -42,6 +42,8 @@
     // Grace period 6 s and drain bound 2 s are those of the platform's example.
     CHECK(settings.m_relay.m_stop.m_servesCallers.count() == 2600);
     CHECK(settings.m_relay.m_stop.m_servesOthers.count() == 1700);
+    // The example's contact bound is 3 s; the call after a lost one has to end within it too.
+    CHECK(settings.m_store.m_longPollTimeout.count() == 2250);
     std::string broken = without(without(ValidSettings, "self.node"), "network.listen.ready");
     broken += "self.app_addr=nowhere\nterms.bounds.grace_s=long\nself.limits.max_fds=-1\n";
     try {
--- a/tests/platform/standin/rowstore.cpp
+++ b/tests/platform/standin/rowstore.cpp
@@ -70,6 +70,22 @@
         respond(feed.m_exchange, 410, {});
 }
 
+void RowStore::dropPendingCalls(const std::string &address)
+{
+    m_feeds.remove_if([this, &address](const Feed &feed) {
+        if (!address.empty() && feed.m_address != address)
+            return false;
+        m_silenced.push_back(feed.m_exchange);
+        return true;
+    });
+}
+
+bool RowStore::hasPendingCalls(const std::string &address) const
+{
+    return std::any_of(m_feeds.begin(), m_feeds.end(),
+                       [&address](const Feed &feed) { return feed.m_address == address; });
+}
+
 void RowStore::performHeldWrites()
 {
     for (const std::string &body : std::exchange(m_heldWrites, {}))
@@ -81,7 +97,7 @@
 {
     const std::string target(request.target());
     ++m_calls[target.substr(0, target.find('?'))];
-    if (m_faults.m_silent) {
+    if (m_faults.m_silent || m_silent.contains(address)) {
         m_silenced.push_back(exchange);
         return;
     }
@@ -103,11 +119,11 @@
         time = std::max(time, m_writesUntil);
     }
     if (time <= now) {
-        handle(exchange, target, request.body());
+        handle(address, exchange, target, request.body());
         return;
     }
-    m_timers.add(time, [this, exchange, target, body = request.body()] {
-        handle(exchange, target, body);
+    m_timers.add(time, [this, address, exchange, target, body = request.body()] {
+        handle(address, exchange, target, body);
     });
 }
 
@@ -119,7 +135,8 @@
     return ++rate.m_calls <= perSecond || perSecond == 0;
 }
 
-void RowStore::handle(const Exchange &exchange, const std::string &target, const std::string &body)
+void RowStore::handle(const std::string &address, const Exchange &exchange,
+                      const std::string &target, const std::string &body)
 {
     const std::string path = target.substr(0, target.find('?'));
     if (path == "/rows-tx")
@@ -127,7 +144,7 @@
     else if (path == "/rows-get")
         getRows(exchange, parseQuery(target));
     else if (path == "/rows-feed")
-        feed(exchange, parseQuery(target));
+        feed(address, exchange, parseQuery(target));
     else
         respond(exchange, 404, {});
 }
@@ -187,9 +204,10 @@
     respond(exchange, 200, {{"rows", std::move(rows)}, {"truncated", false}});
 }
 
-void RowStore::feed(const Exchange &exchange, const std::map<std::string, std::string> &query)
+void RowStore::feed(const std::string &address, const Exchange &exchange,
+                    const std::map<std::string, std::string> &query)
 {
-    const Feed feed{exchange, query.at("table"), std::stoull(query.at("after"))};
+    const Feed feed{exchange, address, query.at("table"), std::stoull(query.at("after"))};
     if (feed.m_after < m_compacted) {
         respond(exchange, 410, {});
         return;
--- a/tests/platform/standin/rowstore.h
+++ b/tests/platform/standin/rowstore.h
@@ -56,12 +56,21 @@
     /** Discards the history of changes; feeds that need it get 410. */
     void compact();
 
+    /** Drops the pending calls of a node's address, or of all addresses if it is empty: they get no
+     * response, and their connections stay open. */
+    void dropPendingCalls(const std::string &address = "");
+
+    /** @returns whether a call of the address waits for a change. */
+    bool hasPendingCalls(const std::string &address) const;
+
     /** Performs the delayed writes whose conditions still hold. */
     void performHeldWrites();
 
     RowStoreFaults m_faults;
     /** Addresses whose listeners answer every call with 503. */
     std::set<std::string> m_refusing;
+    /** Addresses whose listeners give no response. */
+    std::set<std::string> m_silent;
     /** Number of calls by path, and of calls beyond the rate limits. @{ */
     std::map<std::string, int> m_calls;
     int m_limited = 0;
@@ -86,6 +95,7 @@
     struct Feed
     {
         Exchange m_exchange;
+        std::string m_address;
         std::string m_table;
         std::uint64_t m_after = 0;
     };
@@ -99,13 +109,15 @@
 
     void receive(const std::string &address, const Exchange &exchange,
                  const chervilmount::relay::HttpRequest &request);
-    void handle(const Exchange &exchange, const std::string &target, const std::string &body);
+    void handle(const std::string &address, const Exchange &exchange, const std::string &target,
+                const std::string &body);
     bool withinRate(CallRate &rate, int perSecond);
     void transact(const Exchange &exchange, const std::string &body);
     /** @returns whether the conditions held and the entries were applied. */
     bool apply(const boost::json::object &transaction);
     void getRows(const Exchange &exchange, const std::map<std::string, std::string> &query);
-    void feed(const Exchange &exchange, const std::map<std::string, std::string> &query);
+    void feed(const std::string &address, const Exchange &exchange,
+              const std::map<std::string, std::string> &query);
     bool answerFeed(const Feed &feed, bool atOnce);
     void write(const std::string &table, const std::string &key, const std::string &encoded);
     boost::json::object rowJson(const std::string &table, const std::string &key) const;
