Acknowledge a departure when it is kept, and check a server before its first use

Cause: the acknowledgement came before the write of the row, and only the process knew of the departure. Ruled out: a delayed write that replaces the row (writes are conditional), a status check that finds the server (sequence 5 is that of the announcement), an announcement that is only used because the row is not known yet (the case fails in the same way after the row was read).

Departures are part of the node's record; other nodes report the version that they hold, and return the departures in their greeting. A process sends its backend server a status check before it uses it, once it has its row and a link; four announcements in a row do instead. Requests that arrive meanwhile wait as they do for the policy. Fields are added to existing messages only.

Found on the way, same cause: a departure of a server that was not in use, e.g. just after the start of the node, was acknowledged and never stored. Row reads and writes are repeated 2 s after the begin of the failed call; before, up to 3 s after a timeout of 2 s.

--- a/packages/relay/control/backendtracker.cpp
+++ b/packages/relay/control/backendtracker.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+/** A backend server ignores an acknowledgement that arrives later than a second after its message.
+ */
+constexpr std::chrono::milliseconds LongestAcknowledgement{800};
+/** Time between two status checks of a backend server that is not confirmed. */
+constexpr std::chrono::milliseconds DiscoveryInterval{300};
+
 const char *nameOf(traffic::AnnouncementEffect effect)
 {
     switch (effect) {
@@ -13,6 +19,8 @@
         return "ignored";
     case traffic::AnnouncementEffect::Renewed:
         return "renewed";
+    case traffic::AnnouncementEffect::Unconfirmed:
+        return "unconfirmed";
     case traffic::AnnouncementEffect::Changed:
         return "usable";
     case traffic::AnnouncementEffect::Leaving:
@@ -21,6 +29,13 @@
     return "leaving";
 }
 
+void acknowledge(ServerExchange &exchange)
+{
+    HttpResponse response = makeResponse(200, "{}");
+    response.set(boost::beast::http::field::content_type, "application/json");
+    exchange.respond(std::move(response), false);
+}
+
 } // namespace
 
 BackendTracker::BackendTracker(AnnouncementParser parser, LocalGate &gate, BoundedLog &log)
@@ -59,13 +74,40 @@
         exchange->respond(makeResponse(malformed->m_status, malformed->m_reason + "\n"), false);
         return;
     }
-    if (const auto *announcement = std::get_if<traffic::InstanceAnnouncement>(&message))
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (const auto *announcement = std::get_if<traffic::InstanceAnnouncement>(&message)) {
         handleAnnouncement(*announcement);
-    else
-        handleDeparture(std::get<DepartureNotice>(message));
-    HttpResponse response = makeResponse(200, "{}");
-    response.set(boost::beast::http::field::content_type, "application/json");
-    exchange->respond(std::move(response), false);
+        if (announcement->m_state == traffic::InstanceState::Ready) {
+            acknowledge(*exchange);
+            return;
+        }
+        m_pendingDepartures.push_back({exchange, announcement->m_id, now});
+    } else {
+        const auto &notice = std::get<DepartureNotice>(message);
+        handleDeparture(notice);
+        m_pendingDepartures.push_back({exchange, notice.m_id, now});
+    }
+    // Also if the backend server was not in use, e.g. because this process has just started.
+    if (m_onDeparted)
+        m_onDeparted();
+    acknowledgeDepartures(now);
+}
+
+void BackendTracker::acknowledgeDepartures(TimePoint now)
+{
+    m_pendingDepartures.remove_if([this, now](const PendingDeparture &departure) {
+        const bool isKept = m_areDeparturesKept(departure.m_receivedAt, now);
+        if (!isKept && now - departure.m_receivedAt < LongestAcknowledgement)
+            return false;
+        logAcknowledgement(departure, isKept, now);
+        // The backend server gets no new work in either case.
+        if (isKept)
+            acknowledge(*departure.m_exchange);
+        else
+            departure.m_exchange->respond(
+                    makeResponse(503, "the departure could not be stored yet\n"), false);
+        return true;
+    });
 }
 
 void BackendTracker::restore(const std::vector<traffic::DepartedInstance> &departed)
@@ -76,15 +118,17 @@
         applyEffect(traffic::AnnouncementEffect::Leaving, m_instances.m_current->m_id);
 }
 
-void BackendTracker::discover(const std::string &healthPath)
+void BackendTracker::discover(const std::string &healthPath, TimePoint now)
 {
-    if (m_instances.m_current || m_discovering)
+    if (m_instances.m_isConfirmed || m_discovering || now < m_nextDiscovery
+        || traffic::isLeaving(m_instances))
         return;
     m_discovering = true;
+    m_nextDiscovery = now + DiscoveryInterval;
     m_gate.checkStatus(healthPath, [this](std::optional<traffic::InstanceAnnouncement> instance) {
         m_discovering = false;
-        if (instance && !m_instances.m_current)
-            handleAnnouncement(*instance);
+        if (instance)
+            applyEffect(traffic::confirm(m_instances, *instance), instance->m_id);
     });
 }
 
@@ -99,8 +143,6 @@
     const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
             std::chrono::system_clock::now().time_since_epoch());
     applyEffect(traffic::depart(m_instances, notice.m_id, notice.m_startedAt, now), notice.m_id);
-    if (m_onDeparted)
-        m_onDeparted();
 }
 
 void BackendTracker::applyEffect(traffic::AnnouncementEffect effect, const std::string &id)
@@ -117,15 +159,29 @@
              {"started_at_ms", std::to_string(m_instances.m_current->m_startedAt.count())},
              {"slots", std::to_string(m_instances.m_current->m_slots)}},
             std::chrono::steady_clock::now());
-    if (effect == traffic::AnnouncementEffect::Changed) {
+    if (effect == traffic::AnnouncementEffect::Unconfirmed) {
+        if (m_onUnconfirmed)
+            m_onUnconfirmed();
+        return;
+    }
+    if (effect == traffic::AnnouncementEffect::Changed)
         m_gate.useInstance(*m_instances.m_current);
-    } else {
+    else
         m_gate.stopNewRuns();
-        if (m_onDeparted)
-            m_onDeparted();
-    }
     if (m_onChanged)
         m_onChanged();
 }
 
+void BackendTracker::logAcknowledgement(const PendingDeparture &departure, bool isKept,
+                                        TimePoint now)
+{
+    const std::chrono::duration<double, std::milli> took = now - departure.m_receivedAt;
+    m_log.writeIfAllowed(LogTopic::State,
+                         isKept ? adapters::LogLevel::Info : adapters::LogLevel::Warn,
+                         {{"event", isKept ? "departure-acknowledged" : "departure-not-kept"},
+                          {"instance", departure.m_id},
+                          {"took_ms", std::to_string(took.count())}},
+                         now);
+}
+
 } // namespace chervilmount::relay
--- a/packages/relay/control/backendtracker.h
+++ b/packages/relay/control/backendtracker.h
@@ -6,15 +6,22 @@
 #include "relay/telemetry/boundedlog.h"
 #include "traffic/instance/instanceregister.h"
 
+#include <chrono>
 #include <functional>
+#include <list>
 #include <memory>
 
 namespace chervilmount::relay {
 
-/** Tracks the state of the local backend server by its announcements. */
+/**
+ * Tracks the state of the local backend server by its announcements. A departure takes effect at
+ * once; it is acknowledged when it is kept where the next process of this node finds it.
+ */
 class BackendTracker
 {
 public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
     BackendTracker(AnnouncementParser parser, LocalGate &gate, BoundedLog &log);
 
     /** Handles a request to the announcement listener. */
@@ -23,8 +30,15 @@
     /** Restores the departures that were recorded before a restart. */
     void restore(const std::vector<traffic::DepartedInstance> &departed);
 
-    /** Requests the identity of the backend server unless it has announced itself already. */
-    void discover(const std::string &healthPath);
+    /**
+     * Sends the backend server a status check unless one has been confirmed since the start of this
+     * process, or the one that has announced itself is leaving.
+     */
+    void discover(const std::string &healthPath, TimePoint now);
+
+    /** Acknowledges departures that are kept by now, and rejects those that have waited too long.
+     */
+    void acknowledgeDepartures(TimePoint now);
 
     const traffic::InstanceRegister &instances() const { return m_instances; }
 
@@ -34,17 +48,33 @@
     std::function<void()> m_onChanged;
     /** Called when the recorded departures have to be stored. */
     std::function<void()> m_onDeparted;
+    /** Called when a backend server has to be confirmed by a status check. */
+    std::function<void()> m_onUnconfirmed;
+    /** @returns whether the departures outlive this process.
+     * @param since when the last one was received. */
+    std::function<bool(TimePoint since, TimePoint now)> m_areDeparturesKept;
 
 private:
+    /** A departure that has not been acknowledged yet. */
+    struct PendingDeparture
+    {
+        std::shared_ptr<ServerExchange> m_exchange;
+        std::string m_id;
+        TimePoint m_receivedAt;
+    };
+
     void handleAnnouncement(const traffic::InstanceAnnouncement &announcement);
     void handleDeparture(const DepartureNotice &notice);
     void applyEffect(traffic::AnnouncementEffect effect, const std::string &id);
+    void logAcknowledgement(const PendingDeparture &departure, bool isKept, TimePoint now);
 
     AnnouncementParser m_parser;
     LocalGate &m_gate;
     BoundedLog &m_log;
     traffic::InstanceRegister m_instances;
+    std::list<PendingDeparture> m_pendingDepartures;
     bool m_discovering = false;
+    TimePoint m_nextDiscovery;
 };
 
 } // namespace chervilmount::relay
--- a/packages/relay/control/noderegistry.cpp
+++ b/packages/relay/control/noderegistry.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/timers/retrydelay.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace chervilmount::relay {
@@ -11,7 +12,7 @@
 using Milliseconds = std::chrono::milliseconds;
 
 constexpr Milliseconds InitialRetryDelay{200};
-constexpr Milliseconds MaxRetryDelay{3000};
+constexpr Milliseconds MaxRetryDelay{2000};
 
 } // namespace
 
@@ -32,7 +33,9 @@
 
 void NodeRegistry::setDeparted(std::vector<traffic::DepartedInstance> departed)
 {
-    m_hasStoredDepartures = m_hasStoredDepartures && m_departed == departed;
+    if (m_departed == departed)
+        return;
+    m_hasStoredDepartures = false;
     m_departed = std::move(departed);
     // Before the own row has been read, the write that follows the read includes this change.
     if (m_knowsOwnRow)
@@ -56,10 +59,11 @@
     m_dirty = false;
     StoreRow row = toStoreRow({m_mesh.self(), m_departed, m_profile});
     row.m_version = m_version;
-    m_store.write(NodeTable, row, [this, value = row.m_value](const WriteResult &result) {
+    const auto calledAt = std::chrono::steady_clock::now();
+    m_store.write(NodeTable, row, [this, calledAt, value = row.m_value](const WriteResult &result) {
         m_writing = false;
         if (result.m_status == WriteStatus::Failed) {
-            retry([this] { write(); });
+            retry(calledAt, [this] { write(); });
             return;
         }
         m_failures = 0;
@@ -75,7 +79,8 @@
             write();
             return;
         }
-        m_hasStoredDepartures = true;
+        if (!std::exchange(m_hasStoredDepartures, true) && m_onDeparturesStored)
+            m_onDeparturesStored();
         if (!m_hasReadTable)
             read();
     });
@@ -83,9 +88,10 @@
 
 void NodeRegistry::read()
 {
-    m_store.read(NodeTable, [this](bool succeeded, const std::vector<StoreRow> &rows) {
+    const auto calledAt = std::chrono::steady_clock::now();
+    m_store.read(NodeTable, [this, calledAt](bool succeeded, const std::vector<StoreRow> &rows) {
         if (!succeeded) {
-            retry([this] { read(); });
+            retry(calledAt, [this] { read(); });
             return;
         }
         m_failures = 0;
@@ -148,11 +154,13 @@
     m_mesh.setInitialProfile(node->m_record.m_node, node->m_profile);
 }
 
-void NodeRegistry::retry(const std::function<void()> &action)
+void NodeRegistry::retry(std::chrono::steady_clock::time_point calledAt,
+                         const std::function<void()> &action)
 {
     const Milliseconds delay = retryDelay(InitialRetryDelay, MaxRetryDelay, m_failures, m_random);
     ++m_failures;
-    m_timers.add(std::chrono::steady_clock::now() + delay, action);
+    // Counts from the call, so that one that has timed out is repeated at once.
+    m_timers.add(std::max(calledAt + delay, std::chrono::steady_clock::now()), action);
 }
 
 } // namespace chervilmount::relay
--- a/packages/relay/control/noderegistry.h
+++ b/packages/relay/control/noderegistry.h
@@ -42,6 +42,8 @@
     std::function<void(const NodeRow &)> m_onOwnRow;
     /** Called once the table of nodes has been read. */
     std::function<void()> m_onTableRead;
+    /** Called when the row has been stored with all departures that were passed. */
+    std::function<void()> m_onDeparturesStored;
 
 private:
     void write();
@@ -50,7 +52,8 @@
     bool mergeRow(const StoreRow &row);
     void read();
     void addPeer(const StoreRow &row);
-    void retry(const std::function<void()> &action);
+    /** Repeats a failed call to the store. @param calledAt when the failed one was made. */
+    void retry(std::chrono::steady_clock::time_point calledAt, const std::function<void()> &action);
 
     SharedStore &m_store;
     Mesh &m_mesh;
--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -51,6 +51,8 @@
         refuse(exchange, std::move(entry), Outcome::RefusedPolicy, status, problem, {});
         return;
     }
+    if (!hasBackendServer(*entry.m_route, now) && waitForStart(exchange, entry.m_request, now))
+        return;
     entry.m_deadline = entry.m_arrivedAt + entry.m_route->m_timeout;
     if (const std::optional<Milliseconds> patience = patienceOf(entry.m_request))
         entry.m_deadline = std::min(entry.m_deadline, entry.m_arrivedAt + *patience);
@@ -127,6 +129,18 @@
     return true;
 }
 
+bool EntryHandler::hasBackendServer(const traffic::RoutePolicy &route, TimePoint now) const
+{
+    // Later, a request without a backend server is refused in any case.
+    if (now - m_startedAt > m_services.m_settings.m_startWait.m_startTime)
+        return true;
+    return std::any_of(route.m_parts.begin(), route.m_parts.end(),
+                       [this, now](const traffic::SplitPart &part) {
+                           return m_services.m_gate.serves(part.m_service)
+                                   || !m_services.m_mesh.targetsOf(part.m_service, now).empty();
+                       });
+}
+
 std::optional<std::chrono::milliseconds> EntryHandler::patienceOf(const HttpRequest &request) const
 {
     const std::int64_t milliseconds =
--- a/packages/relay/frames/framecodec.cpp
+++ b/packages/relay/frames/framecodec.cpp
@@ -32,6 +32,27 @@
             message.relative_hold() * 1e-3};
 }
 
+template<typename Message>
+void writeDepartures(const std::vector<traffic::DepartedInstance> &departed, Message &message)
+{
+    for (const traffic::DepartedInstance &instance : departed) {
+        wire::Departure &target = *message.add_departed();
+        target.set_instance(instance.m_id);
+        target.set_started_at(static_cast<std::uint64_t>(instance.m_startedAt.count()));
+    }
+}
+
+template<typename Message>
+std::vector<traffic::DepartedInstance> readDepartures(const Message &message)
+{
+    std::vector<traffic::DepartedInstance> departed;
+    for (const wire::Departure &instance : message.departed())
+        departed.push_back(
+                {instance.instance(),
+                 std::chrono::milliseconds(static_cast<std::int64_t>(instance.started_at()))});
+    return departed;
+}
+
 void write(const NodeRecord &record, wire::NodeRecord &message)
 {
     message.set_node(record.m_node);
@@ -43,6 +64,7 @@
     message.set_service(record.m_service);
     message.set_usable(record.m_usable);
     message.set_leaving(record.m_leaving);
+    writeDepartures(record.m_departed, message);
 }
 
 NodeRecord read(const wire::NodeRecord &message)
@@ -57,6 +79,7 @@
     record.m_service = message.service();
     record.m_usable = message.usable();
     record.m_leaving = message.leaving();
+    record.m_departed = readDepartures(message);
     return record;
 }
 
@@ -96,6 +119,7 @@
     wire::Hello &message = *frame.mutable_hello();
     write(hello.m_record, *message.mutable_record());
     message.set_policy_version(hello.m_policyVersion);
+    writeDepartures(hello.m_departed, message);
 }
 
 void write(const Status &status, wire::Frame &frame)
@@ -106,6 +130,7 @@
     write(status.m_load, *message.mutable_load());
     message.set_policy_version(status.m_policyVersion);
     message.set_reaches_store(status.m_reachesStore);
+    message.set_held_version(status.m_heldVersion);
     for (const auto &[route, observed] : status.m_profile) {
         wire::RouteProfile &profile = *message.add_profile();
         profile.set_route(route);
@@ -201,6 +226,7 @@
     status.m_load = read(message.load());
     status.m_policyVersion = message.policy_version();
     status.m_reachesStore = message.reaches_store();
+    status.m_heldVersion = message.held_version();
     for (const wire::RouteProfile &profile : message.profile()) {
         traffic::RouteProfile &observed = status.m_profile[profile.route()];
         observed.m_runs = profile.runs();
@@ -297,7 +323,8 @@
     case wire::Frame::kFailure:
         return readFailure(message.failure());
     case wire::Frame::kHello:
-        return Hello{read(message.hello().record()), message.hello().policy_version()};
+        return Hello{read(message.hello().record()), message.hello().policy_version(),
+                     readDepartures(message.hello())};
     case wire::Frame::kStatus:
         return readStatus(message.status());
     case wire::Frame::kPolicyRequest:
--- a/packages/relay/frames/frames.h
+++ b/packages/relay/frames/frames.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "traffic/instance/instanceregister.h"
 #include "traffic/placement/placement.h"
 #include "traffic/profile/callprofile.h"
 #include "traffic/treeadmission/demand.h"
@@ -37,6 +38,9 @@
     bool m_usable = false;
     /** The node is shutting down and draining. */
     bool m_leaving = false;
+    /** Departures of local backend servers that have been announced to the node. The other nodes
+     * keep them for its next process. */
+    std::vector<traffic::DepartedInstance> m_departed;
 };
 
 /** @returns whether the first record is newer than the second. */
@@ -47,6 +51,8 @@
 {
     NodeRecord m_record;
     std::uint64_t m_policyVersion = 0;
+    /** Departures that the receiver, or an earlier process of it, has made known to the sender. */
+    std::vector<traffic::DepartedInstance> m_departed;
 };
 
 /** Sent periodically; also serves as the heartbeat of the link. */
@@ -62,6 +68,8 @@
     traffic::Demand m_demand;
     /** The sender's last calls to the store succeeded. */
     bool m_reachesStore = false;
+    /** Version of the receiver's record that the sender holds; 0 before the first change. */
+    std::uint32_t m_heldVersion = 0;
 };
 
 /** Asks a node to run a request at its local backend server. */
--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -78,8 +78,7 @@
         forgetEarlierProcess(*peer, now);
         traffic::restartDialling(peer->m_dial, now);
     }
-    peer->m_record = record;
-    updatePlace(*peer);
+    setRecord(*peer, record);
     if (!peer->m_link && !peer->m_dialling && now >= peer->m_dial.m_nextAt)
         connect(*peer, now);
 }
@@ -109,6 +108,14 @@
         sendStatus(*session, now);
 }
 
+std::size_t Mesh::nodesHoldingRecord() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_peers.begin(), m_peers.end(), [this](const auto &entry) {
+                return entry.second->m_link && entry.second->m_heldVersion == m_self.m_version;
+            }));
+}
+
 void Mesh::tick(TimePoint now)
 {
     const bool wasPaused = now - m_lastTick > PauseDetectionGap;
@@ -285,9 +292,11 @@
     if (Hello *hello = std::get_if<Hello>(&frame)) {
         session->m_record = hello->m_record;
         session->m_helloReceived = true;
-        session->m_link->send(Hello{m_self, m_handlers.m_policyVersion()});
-        sendStatus(*session, std::chrono::steady_clock::now());
+        session->m_link->send(helloFor(hello->m_record.m_node));
         updatePeer(hello->m_record);
+        sendStatus(*session, std::chrono::steady_clock::now());
+        if (!hello->m_departed.empty())
+            m_handlers.m_onDepartures(hello->m_departed);
     } else if (Call *call = std::get_if<Call>(&frame)) {
         runCall(session, std::move(*call));
     } else if (const Cancel *cancel = std::get_if<Cancel>(&frame)) {
@@ -328,6 +337,9 @@
         return;
     const bool withProfile = now >= session.m_nextProfileAt;
     Status status = m_handlers.m_status(session.m_record, withProfile);
+    const Peer *peer = peerNamed(session.m_record.m_node);
+    if (peer != nullptr && peer->m_record.m_startedAt == session.m_record.m_startedAt)
+        status.m_heldVersion = peer->m_record.m_version;
     if (!std::exchange(session.m_selfRecordSent, true))
         status.m_record = m_self;
     const Milliseconds interval = statusInterval(session.m_record);
@@ -337,6 +349,31 @@
     session.m_link->send(status);
 }
 
+void Mesh::setRecord(Peer &peer, const NodeRecord &record)
+{
+    peer.m_record = record;
+    traffic::mergeDepartures(peer.m_departed, record.m_departed);
+    updatePlace(peer);
+}
+
+void Mesh::reportHeldVersion(const std::string &node)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    const std::list<std::shared_ptr<Session>> sessions = m_sessions;
+    for (const std::shared_ptr<Session> &session : sessions) {
+        if (session->m_record.m_node == node)
+            sendStatus(*session, now);
+    }
+}
+
+Hello Mesh::helloFor(const std::string &node)
+{
+    const Peer *peer = peerNamed(node);
+    return {m_self, m_handlers.m_policyVersion(),
+            peer == nullptr ? std::vector<traffic::DepartedInstance>()
+                            : traffic::toList(peer->m_departed)};
+}
+
 void Mesh::connect(Peer &peer, TimePoint now)
 {
     if (m_closed)
@@ -403,7 +440,7 @@
         loseLink(*pointer, std::chrono::steady_clock::now());
     };
     peer.m_link->start();
-    peer.m_link->send(Hello{m_self, m_handlers.m_policyVersion()});
+    peer.m_link->send(helloFor(peer.m_record.m_node));
 }
 
 void Mesh::receive(Peer &peer, Frame frame)
@@ -412,15 +449,20 @@
     if (const Hello *hello = std::get_if<Hello>(&frame)) {
         peer.m_helloReceived = true;
         traffic::linkEstablished(peer.m_dial);
-        peer.m_record = hello->m_record;
-        updatePlace(peer);
+        setRecord(peer, hello->m_record);
+        if (!hello->m_departed.empty())
+            m_handlers.m_onDepartures(hello->m_departed);
         m_handlers.m_onLinkChanged(peer.m_record, true);
         m_handlers.m_onPolicyVersion(peer.m_record.m_node, hello->m_policyVersion);
     } else if (Status *status = std::get_if<Status>(&frame)) {
         if (status->m_record) {
-            peer.m_record = *status->m_record;
-            updatePlace(peer);
+            setRecord(peer, *status->m_record);
+            if (!peer.m_record.m_departed.empty())
+                reportHeldVersion(peer.m_record.m_node);
         }
+        if (status->m_heldVersion != std::exchange(peer.m_heldVersion, status->m_heldVersion)
+            && m_handlers.m_onRecordHeld)
+            m_handlers.m_onRecordHeld();
         peer.m_target.m_load = status->m_load;
         peer.m_target.m_sentSinceReport = 0;
         if (!status->m_profile.empty())
@@ -518,6 +560,7 @@
 {
     peer.m_link = nullptr;
     peer.m_calls.clear();
+    peer.m_heldVersion = 0;
     const bool helloWasReceived = std::exchange(peer.m_helloReceived, false);
     peer.m_lostAt = now;
     traffic::linkLost(peer.m_dial, Dialling, now);
--- a/packages/relay/link/mesh.h
+++ b/packages/relay/link/mesh.h
@@ -39,6 +39,11 @@
     /** @returns how many tokens are handed over; they have been subtracted here. */
     std::function<double(const TokenRequest &)> m_grantTokens;
     std::function<void(const TokenGrant &)> m_onTokensGranted;
+    /** Called with departures that an earlier process of this node has made known to another one.
+     */
+    std::function<void(const std::vector<traffic::DepartedInstance> &)> m_onDepartures;
+    /** Called when another node has reported that it holds the current record of this node. */
+    std::function<void()> m_onRecordHeld;
     /** Called when a link was established or lost. */
     std::function<void(const NodeRecord &, bool linked)> m_onLinkChanged;
 };
@@ -64,6 +69,10 @@
     bool m_helloReceived = false;
     /** The other node reports that its last calls to the store succeeded. */
     bool m_reachesStore = false;
+    /** Version of this node's record that the other node holds, as reported on the link. */
+    std::uint32_t m_heldVersion = 0;
+    /** Departures that the node has made known, kept for its next process. */
+    traffic::Departures m_departed;
     std::chrono::steady_clock::time_point m_lastReceivedAt;
     /** When the last link was lost; unset before the first one. */
     std::chrono::steady_clock::time_point m_lostAt;
@@ -110,6 +119,9 @@
     /** Sends all other nodes a status at once. */
     void sendStatuses();
 
+    /** @returns the number of linked nodes that hold the current record of this node. */
+    std::size_t nodesHoldingRecord() const;
+
     const NodeRecord &self() const { return m_self; }
 
     /** Connects to nodes, retires links that time out and sends statuses; call it every 100 ms. */
@@ -179,6 +191,12 @@
     void receive(const std::shared_ptr<Session> &session, Frame frame);
     void runCall(const std::shared_ptr<Session> &session, Call call);
     void sendStatus(Session &session, TimePoint now);
+    /** Takes over a record that the node itself has sent or stored. */
+    void setRecord(Peer &peer, const NodeRecord &record);
+    /** Tells a node without delay which version of its record is held here. */
+    void reportHeldVersion(const std::string &node);
+    /** @returns the greeting for a node. */
+    Hello helloFor(const std::string &node);
     void connect(Peer &peer, TimePoint now);
     void connectEnded(const std::string &node,
                       const std::shared_ptr<boost::asio::ip::tcp::socket> &socket,
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -23,6 +23,11 @@
 constexpr Milliseconds PolicyFromPeerDelay{300};
 /** Time in which the other nodes connect to a restarted node. */
 constexpr Milliseconds PeerLinkTimeout{1500};
+/** Time for the store to write a departure before copies at other nodes are enough. While the store
+ * works, a departure outlives even the loss of all nodes. */
+constexpr Milliseconds StoreWriteTime{400};
+/** Other nodes that have to hold a departure which the store has not written. */
+constexpr std::size_t DepartureCopies = 2;
 /** A node without any link for this long reports that it is not ready. */
 constexpr Milliseconds IsolationTimeout{1500};
 /** Nodes that have been unreachable for longer get no share of the organisations' rates. */
@@ -107,7 +112,7 @@
                        const HttpRequest &request) { handleMetrics(exchange, request); });
     m_rates.m_settings = m_settings.m_rates;
     m_repeats.m_settings = m_settings.m_repeats;
-    m_linkedAt = std::chrono::steady_clock::now();
+    m_startedAt = m_linkedAt = std::chrono::steady_clock::now();
     m_gate.m_expectedHold = [this](const std::string &route) {
         return m_loads.expectedHold(route);
     };
@@ -117,18 +122,25 @@
                 || (m_policy.current() && m_policy.current()->serviceNamed(service) != nullptr);
     };
     m_backend.m_onChanged = [this] { backendChanged(); };
-    m_backend.m_onDeparted = [this] {
-        m_registry.setDeparted(traffic::departures(m_backend.instances()));
+    m_backend.m_onDeparted = [this] { keepDepartures(); };
+    m_backend.m_areDeparturesKept = [this](TimePoint since, TimePoint now) {
+        return areDeparturesKept(since, now);
     };
+    m_backend.m_onUnconfirmed = [this] { checkBackendServer(std::chrono::steady_clock::now()); };
     m_registry.m_onOwnRow = [this](const NodeRow &row) {
         m_backend.restore(row.m_departed);
         // Stores the restored departures together with those since the start.
-        m_registry.setDeparted(traffic::departures(m_backend.instances()));
+        keepDepartures();
         m_gate.restoreProfile(row.m_profile);
     };
+    m_registry.m_onDeparturesStored = [this] {
+        m_backend.acknowledgeDepartures(std::chrono::steady_clock::now());
+    };
     m_registry.m_onTableRead = [this] {
-        updateRateSharers(std::chrono::steady_clock::now());
+        const TimePoint now = std::chrono::steady_clock::now();
+        updateRateSharers(now);
         m_entry.releaseStartQueue();
+        checkBackendServer(now);
     };
     m_store.m_onReachabilityChanged = [this] {
         logState(m_store.m_reachable ? "store-reachable" : "store-lost", {});
@@ -239,11 +251,21 @@
                            std::chrono::steady_clock::now());
         m_entry.tokensArrived();
     };
+    handlers.m_onDepartures = [this](const std::vector<traffic::DepartedInstance> &departed) {
+        m_backend.restore(departed);
+        keepDepartures();
+    };
+    handlers.m_onRecordHeld = [this] {
+        m_backend.acknowledgeDepartures(std::chrono::steady_clock::now());
+    };
     handlers.m_onLinkChanged = [this](const NodeRecord &record, bool linked) {
-        if (linked)
-            m_linkedAt = std::chrono::steady_clock::now();
-        else
+        const TimePoint now = std::chrono::steady_clock::now();
+        if (linked) {
+            m_linkedAt = now;
+            checkBackendServer(now);
+        } else {
             ++m_counters.m_linksLost;
+        }
         logState(linked ? "link-made" : "link-lost",
                  {{"node", record.m_node},
                   {"service", record.m_service},
@@ -280,6 +302,7 @@
         traffic::setRate(m_rates, organisation.m_name, organisation.m_rate, organisation.m_burst,
                          now);
     m_entry.releaseStartQueue();
+    checkBackendServer(now);
     // Tells the new version to nodes that do not follow the store themselves.
     if (m_followsPolicy)
         m_mesh.sendStatuses();
@@ -329,9 +352,42 @@
     const traffic::InstanceRegister &instances = m_backend.instances();
     m_mesh.updateSelf([&instances](NodeRecord &record) {
         record.m_usable = instances.m_usable;
+        record.m_departed = traffic::toList(instances.m_departed);
         if (instances.m_current)
             record.m_service = instances.m_current->m_service;
     });
+    m_entry.releaseStartQueue();
+}
+
+void RelayNode::keepDepartures()
+{
+    const std::vector<traffic::DepartedInstance> departed =
+            traffic::toList(m_backend.instances().m_departed);
+    m_registry.setDeparted(departed);
+    if (m_mesh.self().m_departed != departed)
+        m_mesh.updateSelf([&departed](NodeRecord &record) { record.m_departed = departed; });
+}
+
+bool RelayNode::areDeparturesKept(TimePoint since, TimePoint now) const
+{
+    if (m_registry.hasStoredDepartures())
+        return true;
+    if (m_store.m_reachable && now - since < StoreWriteTime)
+        return false;
+    const std::size_t needed = std::min(DepartureCopies, m_mesh.linkedPeers());
+    return needed > 0 && m_mesh.nodesHoldingRecord() >= needed;
+}
+
+void RelayNode::checkBackendServer(TimePoint now)
+{
+    const traffic::ServicePolicy *service =
+            m_policy.current() ? m_policy.current()->serviceNamed(m_settings.m_service) : nullptr;
+    const bool readsRow = !m_registry.knowsOwnRow() && m_store.m_reachable;
+    const bool awaitsPeers = m_mesh.linkedPeers() == 0
+            && (m_mesh.knownPeers() > 0 || !m_registry.hasReadTable())
+            && now - m_startedAt < PeerLinkTimeout;
+    if (service != nullptr && !readsRow && !awaitsPeers)
+        m_backend.discover(service->m_healthPath, now);
 }
 
 void RelayNode::tick()
@@ -341,6 +397,7 @@
     const TimePoint now = std::chrono::steady_clock::now();
     m_mesh.tick(now);
     m_entry.reconsiderCalls(now);
+    m_entry.releaseStartQueue();
     if (m_mesh.linkedPeers() > 0)
         m_linkedAt = now;
     else
@@ -363,12 +420,8 @@
         m_nextSheddingLog = now + SheddingLogInterval;
         logShedding(now);
     }
-    if (m_policy.current() && m_registry.knowsOwnRow() && !m_backend.instances().m_current) {
-        const traffic::ServicePolicy *service =
-                m_policy.current()->serviceNamed(m_settings.m_service);
-        if (service != nullptr)
-            m_backend.discover(service->m_healthPath);
-    }
+    checkBackendServer(now);
+    m_backend.acknowledgeDepartures(now);
     advanceShutdown(now);
     m_timers.add(now + TickInterval, [this] { tick(); });
 }
--- a/packages/relay/runtime/relaynode.h
+++ b/packages/relay/runtime/relaynode.h
@@ -77,6 +77,12 @@
     void policyChanged();
     void handlePeerPolicyVersion(const std::string &node, std::uint64_t version);
     void backendChanged();
+    /** Stores the departures of local backend servers, and sends them to the other nodes. */
+    void keepDepartures();
+    bool areDeparturesKept(TimePoint since, TimePoint now) const;
+    /** Sends the local backend server a status check if it needs one and all departures that
+     * earlier processes were told of are known as far as possible. */
+    void checkBackendServer(TimePoint now);
     void tick();
     void advanceShutdown(TimePoint now);
     /** Sends final responses to all pending requests before the process exits. */
@@ -127,6 +133,7 @@
     /** Start of the present uninterrupted time with at least one link. */
     std::chrono::steady_clock::time_point m_linkedSince;
     bool m_followsPolicy = true;
+    TimePoint m_startedAt;
     TimePoint m_linkedAt;
     TimePoint m_nextTimeoutCheck;
     TimePoint m_nextSheddingLog;
--- a/packages/traffic/instance/instanceregister.cpp
+++ b/packages/traffic/instance/instanceregister.cpp
@@ -22,26 +22,25 @@
     return announcement.m_id == current.m_id && announcement.m_sequence <= current.m_sequence;
 }
 
-void recordDeparture(InstanceRegister &instances, const std::string &id,
+void recordDeparture(Departures &departures, const std::string &id,
                      std::chrono::milliseconds startedAt)
 {
-    std::chrono::milliseconds &departed = instances.m_departed[id];
+    std::chrono::milliseconds &departed = departures[id];
     departed = std::max(departed, startedAt);
-    while (instances.m_departed.size() > MaximumDepartures) {
-        auto oldest = instances.m_departed.begin();
-        for (auto entry = instances.m_departed.begin(); entry != instances.m_departed.end();
-             ++entry) {
+    while (departures.size() > MaximumDepartures) {
+        auto oldest = departures.begin();
+        for (auto entry = departures.begin(); entry != departures.end(); ++entry) {
             if (entry->second < oldest->second)
                 oldest = entry;
         }
-        instances.m_departed.erase(oldest);
+        departures.erase(oldest);
     }
 }
 
 AnnouncementEffect markDeparted(InstanceRegister &instances, const std::string &id,
                                 std::chrono::milliseconds startedAt)
 {
-    recordDeparture(instances, id, startedAt);
+    recordDeparture(instances.m_departed, id, startedAt);
     if (!instances.m_current || instances.m_current->m_id != id
         || instances.m_current->m_startedAt > startedAt)
         return AnnouncementEffect::Ignored;
@@ -65,21 +64,41 @@
     if (announcement.m_state == InstanceState::Draining) {
         instances.m_current = announcement;
         const bool wasUsable = instances.m_usable;
-        recordDeparture(instances, announcement.m_id, announcement.m_startedAt);
+        recordDeparture(instances.m_departed, announcement.m_id, announcement.m_startedAt);
         instances.m_usable = false;
         return wasUsable ? AnnouncementEffect::Leaving : AnnouncementEffect::Renewed;
     }
-    const bool same = instances.m_usable && instances.m_current
-            && instances.m_current->m_id == announcement.m_id
-            && instances.m_current->m_startedAt == announcement.m_startedAt
+    const bool sameProcess = instances.m_current && instances.m_current->m_id == announcement.m_id
+            && instances.m_current->m_startedAt == announcement.m_startedAt;
+    const bool same = instances.m_usable && sameProcess
             && instances.m_current->m_address == announcement.m_address
             && instances.m_current->m_service == announcement.m_service
             && instances.m_current->m_slots == announcement.m_slots;
     instances.m_current = announcement;
+    if (!instances.m_isConfirmed) {
+        int &announcements = instances.m_unconfirmedAnnouncements;
+        announcements = sameProcess ? announcements + 1 : 1;
+        if (announcements < AnnouncementsUntilConfirmed)
+            return AnnouncementEffect::Unconfirmed;
+        instances.m_isConfirmed = true;
+    }
     instances.m_usable = true;
     return same ? AnnouncementEffect::Renewed : AnnouncementEffect::Changed;
 }
 
+AnnouncementEffect confirm(InstanceRegister &instances, const InstanceAnnouncement &found)
+{
+    // A status check does not state the start, an announcement does.
+    const InstanceAnnouncement &current = instances.m_current ? *instances.m_current : found;
+    if (instances.m_isConfirmed || current.m_id != found.m_id || hasDeparted(instances, current))
+        return AnnouncementEffect::Ignored;
+    if (!instances.m_current)
+        instances.m_current = found;
+    instances.m_isConfirmed = true;
+    instances.m_usable = true;
+    return AnnouncementEffect::Changed;
+}
+
 AnnouncementEffect depart(InstanceRegister &instances, const std::string &id,
                           std::chrono::milliseconds startedAt, std::chrono::milliseconds now)
 {
@@ -92,19 +111,28 @@
     return markDeparted(instances, id, isKnown ? instances.m_current->m_startedAt : now);
 }
 
+bool isLeaving(const InstanceRegister &instances)
+{
+    return instances.m_current && hasDeparted(instances, *instances.m_current);
+}
+
 void restoreDepartures(InstanceRegister &instances, const std::vector<DepartedInstance> &departed)
 {
-    for (const DepartedInstance &instance : departed) {
-        recordDeparture(instances, instance.m_id, instance.m_startedAt);
-        if (instances.m_current && hasDeparted(instances, *instances.m_current))
-            instances.m_usable = false;
-    }
+    mergeDepartures(instances.m_departed, departed);
+    if (isLeaving(instances))
+        instances.m_usable = false;
+}
+
+void mergeDepartures(Departures &departures, const std::vector<DepartedInstance> &added)
+{
+    for (const DepartedInstance &instance : added)
+        recordDeparture(departures, instance.m_id, instance.m_startedAt);
 }
 
-std::vector<DepartedInstance> departures(const InstanceRegister &instances)
+std::vector<DepartedInstance> toList(const Departures &departures)
 {
     std::vector<DepartedInstance> result;
-    for (const auto &[id, startedAt] : instances.m_departed)
+    for (const auto &[id, startedAt] : departures)
         result.push_back({id, startedAt});
     return result;
 }
--- a/packages/traffic/instance/instanceregister.h
+++ b/packages/traffic/instance/instanceregister.h
@@ -36,6 +36,16 @@
     bool operator==(const DepartedInstance &other) const = default;
 };
 
+/** Latest start time that has departed, by instance id. */
+using Departures = std::map<std::string, std::chrono::milliseconds>;
+
+/** Adds departures. Only the latest few are kept, since earlier backend servers send nothing any
+ * more. */
+void mergeDepartures(Departures &departures, const std::vector<DepartedInstance> &added);
+
+/** @returns the departures as a list, ordered by instance id. */
+std::vector<DepartedInstance> toList(const Departures &departures);
+
 /**
  * The backend server that this node serves. At most one is used at a time; one that has announced
  * its departure is not used again until it has been restarted.
@@ -45,15 +55,29 @@
     std::optional<InstanceAnnouncement> m_current;
     /** The current backend server accepts new work. */
     bool m_usable = false;
-    /** Latest start time that has departed, by instance id. */
-    std::map<std::string, std::chrono::milliseconds> m_departed;
+    /** A backend server has been confirmed to serve since this process started. Its successors
+     * start later, so that no earlier process can have been told of their departure. */
+    bool m_isConfirmed = false;
+    /** Announcements in a row of the current backend server while it is not confirmed. */
+    int m_unconfirmedAnnouncements = 0;
+    Departures m_departed;
 };
 
+/**
+ * Announcements in a row after which a backend server is used without a confirmation, in case that
+ * its status check fails although it serves. A backend server that leaves sends no more of them;
+ * only a few can still be on their way.
+ */
+constexpr int AnnouncementsUntilConfirmed = 4;
+
 enum class AnnouncementEffect {
     /** Out of order, duplicate or from an earlier start. */
     Ignored,
     /** No change that is relevant to other nodes. */
     Renewed,
+    /** A backend server is ready, but an earlier process of this node may have been told of its
+     * departure: it is used once confirm() has been called. */
+    Unconfirmed,
     /** A backend server has become usable, or its description has changed. */
     Changed,
     /** The backend server is leaving and gets no new work. */
@@ -71,10 +95,16 @@
 AnnouncementEffect depart(InstanceRegister &instances, const std::string &id,
                           std::chrono::milliseconds startedAt, std::chrono::milliseconds now);
 
+/**
+ * Processes the successful status check of a backend server, begun after this process had started.
+ * @param found the backend server that responded; its announcements state more than the check.
+ */
+AnnouncementEffect confirm(InstanceRegister &instances, const InstanceAnnouncement &found);
+
+/** @returns whether the current backend server has announced its departure. */
+bool isLeaving(const InstanceRegister &instances);
+
 /** Restores departures that were recorded before a restart of this node. */
 void restoreDepartures(InstanceRegister &instances, const std::vector<DepartedInstance> &departed);
 
-/** @returns the departures to persist, including those of the current backend server. */
-std::vector<DepartedInstance> departures(const InstanceRegister &instances);
-
 } // namespace chervilmount::traffic
