Take no refusal for a request that does not carry its identifier

What callers would see: a backend server that writes an earlier refusal once more on a kept connection, without an identifier, refused the request under way there: "not run" for a request that runs (REFUSED), or a second run elsewhere (TWICE).

Cause: the "not run" field and status 421 were looked at before the identifier, and a response without one was accepted on every connection.

Change: on a used connection a response without an identifier belongs to no request and is dropped, as one with another identifier is; nothing without the identifier counts as an answer or a refusal. Final statuses outside of 200 to 599 are no answers. Ruled out: ending the exchange there, which would cost the run its connection and the caller its answer.

--- a/packages/relay/http/httpclientconnection.cpp
+++ b/packages/relay/http/httpclientconnection.cpp
@@ -186,7 +186,7 @@
     // Not all interim responses (1xx) are known to the library by name.
     const bool interim = response.result_int() / 100 == 1
             && response.result() != http::status::switching_protocols;
-    if (interim || (!m_id.empty() && !id.empty() && id != m_id)) {
+    if (interim || belongsToEarlierRequest(id)) {
         skipResponse(keepAlive);
         return;
     }
@@ -195,6 +195,14 @@
     finish({ExchangeStatus::Answered, true, std::move(response), {}});
 }
 
+bool HttpClientConnection::belongsToEarlierRequest(std::string_view id) const
+{
+    if (m_id.empty())
+        return false;
+    // Without an identifier it may be a copy of an earlier response, if there was one.
+    return id.empty() ? m_exchanges > 0 || m_skippedResponses > 0 : id != m_id;
+}
+
 void HttpClientConnection::skipResponse(bool keepAlive)
 {
     if (!keepAlive || !m_keepAlive) {
--- a/packages/relay/http/httpclientconnection.h
+++ b/packages/relay/http/httpclientconnection.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace chervilmount::relay {
 
@@ -57,8 +58,9 @@
                  std::function<void(bool)> callback);
 
     /**
-     * Sends a request and waits for the response that carries the same identifier; responses with
-     * another one are late answers to earlier requests and are dropped.
+     * Sends a request and waits for the response that carries the same identifier. Responses with
+     * another one, and on a used connection those without one, are late answers to earlier requests
+     * and are dropped.
      * @param id identifier that the response must repeat; empty accepts any response.
      */
     void exchange(HttpRequest request, std::string id, Callback callback);
@@ -79,6 +81,8 @@
     void parse();
     void startResponse();
     void completeResponse();
+    /** @param id identifier that the response repeats, or an empty text. */
+    bool belongsToEarlierRequest(std::string_view id) const;
     void skipResponse(bool keepAlive);
     void broken(const std::string &problem);
     void finish(ExchangeResult result);
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -23,6 +23,10 @@
 /** A stale connection, which the backend server has closed or dropped, is reset within this time of
  * the send. Long enough for a busy machine, too short for a run to get far. */
 constexpr std::chrono::milliseconds StaleResetWindow{50};
+/** Statuses that a final response can have. @{ */
+constexpr int FirstFinalStatus = 200;
+constexpr int LastFinalStatus = 599;
+/** @} */
 
 using Milliseconds = std::chrono::milliseconds;
 
@@ -380,6 +384,10 @@
     const HeaderNames &names = m_settings.m_headers;
     const int status = static_cast<int>(response.result_int());
     const bool sealed = !fieldValue(response, names.m_seal).empty();
+    // Without the attempt's identifier not even a refusal is known to concern this request.
+    if (fieldValue(response, names.m_attempt) != run.m_call.m_attempt || status < FirstFinalStatus
+        || status > LastFinalStatus)
+        return Failure{run.m_call.m_id, false, true, FailureReason::Broken, {}};
     if (response.result() == http::status::misdirected_request && !sealed) {
         if (m_onInstanceGone)
             m_onInstanceGone();
@@ -387,8 +395,7 @@
     }
     if (!fieldValue(response, names.m_notRun).empty())
         return Failure{run.m_call.m_id, true, true, FailureReason::ServerRefused, {}};
-    const bool named = fieldValue(response, names.m_attempt) == run.m_call.m_attempt;
-    if (!named || (!sealed && response.result() < http::status::bad_request))
+    if (!sealed && response.result() < http::status::bad_request)
         return Failure{run.m_call.m_id, false, true, FailureReason::Broken, {}};
     Answer answer;
     answer.m_id = run.m_call.m_id;
--- a/tests/relay/localgate_test.cpp
+++ b/tests/relay/localgate_test.cpp
@@ -155,6 +155,102 @@
     CHECK(test.m_arrivals == 2);
 }
 
+namespace {
+
+/** Runs one request that the backend server refuses, so that its connection is kept. */
+void refuseFirst(GateCase &test, const std::string &refusal)
+{
+    std::optional<CallResult> result;
+    test.m_gate->run(GateCase::makeCall("a1", false),
+                     [&result](CallResult end) { result = std::move(end); });
+    REQUIRE(runUntil(test.m_context, [&test] {
+        return !test.m_connections.empty()
+                && countOf(test.m_connections.front()->m_received, "\r\n\r\n") == 1;
+    }));
+    test.m_connections.front()->send(refusal);
+    REQUIRE(runUntil(test.m_context, [&result] { return result.has_value(); }));
+    REQUIRE(std::holds_alternative<Failure>(*result));
+    CHECK(std::get<Failure>(*result).m_notRun);
+}
+
+} // namespace
+
+// Guards against a false "not run": a backend server wrote an earlier refusal once more on a kept
+// connection, and the request under way was taken for refused. Without the identifier of the
+// attempt a refusal may belong to any request.
+TEST_CASE("An earlier refusal that is written once more does not refuse the next request")
+{
+    const std::string refusal =
+            GENERATE(as<std::string>(), "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n",
+                     "HTTP/1.1 429 Later\r\nNot-Run: 1\r\n", "HTTP/1.1 421 Other\r\nNot-Run: 1\r\n",
+                     "HTTP/1.1 421 Other\r\n");
+    const std::string id = GENERATE(as<std::string>(), "", "Id: a1\r\n");
+    const bool idempotent = GENERATE(false, true);
+    CAPTURE(refusal, id, idempotent);
+    const std::string end = "Content-Length: 0\r\n\r\n";
+    GateCase test;
+    int gone = 0;
+    test.m_gate->m_onInstanceGone = [&gone] { ++gone; };
+    refuseFirst(test, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: a1\r\n" + end);
+    std::optional<CallResult> result;
+    test.m_gate->run(GateCase::makeCall("a2", idempotent),
+                     [&result](CallResult answer) { result = std::move(answer); });
+    RawCaller &connection = *test.m_connections.front();
+    REQUIRE(runUntil(test.m_context,
+                     [&] { return countOf(connection.m_received, "\r\n\r\n") == 2; }));
+    const std::string answer =
+            "HTTP/1.1 200 OK\r\nSeal: s\r\nId: a2\r\nContent-Length: 2\r\n\r\nok";
+    const bool sameSegment = GENERATE(false, true);
+    connection.send(refusal + id + end + (sameSegment ? answer : ""));
+    if (!sameSegment) {
+        runUntil(
+                test.m_context, [&result] { return result.has_value(); }, 50ms);
+        CHECK_FALSE(result.has_value());
+        connection.send(answer);
+    }
+    REQUIRE(runUntil(test.m_context, [&result] { return result.has_value(); }));
+    CHECK(isAnswer(*result));
+    CHECK(gone == 0);
+    CHECK(test.m_connections.size() == 1);
+}
+
+// Guards against the same where the copy does not arrive beside a request under way.
+TEST_CASE("A connection with bytes behind a refusal is not used again")
+{
+    const std::string refusal =
+            "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: a1\r\nContent-Length: 0\r\n\r\n";
+    const bool sameSegment = GENERATE(false, true);
+    CAPTURE(sameSegment);
+    GateCase test;
+    refuseFirst(test, sameSegment ? refusal + refusal : refusal);
+    if (!sameSegment)
+        test.m_connections.front()->send(refusal);
+    REQUIRE(runUntil(test.m_context, [&test] { return test.m_connections.front()->m_closed; }));
+    test.m_answersPerConnection = 1000;
+    test.m_handled.front() = 1;
+    CHECK(isAnswer(test.run("a2", false)));
+    CHECK(test.m_connections.size() == 2);
+}
+
+// Guards against a refusal that is taken for one of this request without saying so, also on a new
+// connection.
+TEST_CASE("A refusal without the identifier of the attempt is no proof that it has not run")
+{
+    GateCase test;
+    std::optional<CallResult> result;
+    test.m_gate->run(GateCase::makeCall("a1", false),
+                     [&result](CallResult end) { result = std::move(end); });
+    REQUIRE(runUntil(test.m_context, [&test] {
+        return !test.m_connections.empty()
+                && countOf(test.m_connections.front()->m_received, "\r\n\r\n") == 1;
+    }));
+    test.m_connections.front()->send(
+            "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(runUntil(test.m_context, [&result] { return result.has_value(); }));
+    REQUIRE(std::holds_alternative<Failure>(*result));
+    CHECK_FALSE(std::get<Failure>(*result).m_notRun);
+}
+
 // Guards against the other idle connections failing one after the other, when a backend server has
 // forgotten all of them.
 TEST_CASE("One stale connection ends the other idle ones")
