Test answers that break off at every byte

Another operator reported a success with an empty body after a backend server had stopped in the middle of its answer's head and closed. It does not happen here: heads and bodies cut at every byte, with a close and without one, of four forms of answers are broken or awaited, and an answer without a length needs a whole head.

The tests read the request before they close: a server that closes with unread bytes resets the connection, which is another case.

--- a/tests/relay/httpclient_test.cpp
+++ b/tests/relay/httpclient_test.cpp
@@ -50,6 +50,13 @@
                            [this](ExchangeResult result) { m_result = std::move(result); });
     }
 
+    /** Reads the request: a server that closes before resets the connection. */
+    void awaitRequest()
+    {
+        REQUIRE(runUntil(m_context,
+                         [this] { return countOf(m_server->m_received, "\r\n\r\n") > 0; }));
+    }
+
     void awaitResult()
     {
         REQUIRE(runUntil(m_context, [this] { return m_result.has_value(); }));
@@ -162,6 +169,53 @@
     CHECK(test.m_result->m_status == ExchangeStatus::Broken);
 }
 
+// Guards against a success with an empty or short body that is passed on as whole: a backend server
+// stopped in the middle of its answer's head and closed.
+TEST_CASE("An answer that breaks off at any byte is broken, and whole once the rest has come")
+{
+    const std::string answer = GENERATE(
+            as<std::string>(), response("a", "body"), response("a", ""),
+            "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
+    const bool closes = GENERATE(true, false);
+    for (std::size_t cut = 0; cut < answer.size(); ++cut) {
+        INFO("cut at byte " << cut << " of " << answer);
+        ClientCase test;
+        test.request("a");
+        test.awaitRequest();
+        test.m_server->send(answer.substr(0, cut));
+        if (closes) {
+            test.m_server->close();
+            test.awaitResult();
+            CHECK(test.m_result->m_status == ExchangeStatus::Broken);
+            continue;
+        }
+        runUntil(
+                test.m_context, [&test] { return test.m_result.has_value(); }, 2ms);
+        CHECK_FALSE(test.m_result.has_value());
+        test.m_server->send(answer.substr(cut));
+        test.awaitResult();
+        CHECK(test.m_result->m_status == ExchangeStatus::Answered);
+    }
+}
+
+// Guards against the same for an answer that has no length: its head has to be whole, and its
+// connection to end without a reset.
+TEST_CASE("An answer without a length is whole only behind a whole head")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n\r\n";
+    for (std::size_t cut = 0; cut <= head.size(); ++cut) {
+        INFO("cut at byte " << cut);
+        ClientCase test;
+        test.request("a");
+        test.awaitRequest();
+        test.m_server->send(head.substr(0, cut));
+        test.m_server->close();
+        test.awaitResult();
+        CHECK((test.m_result->m_status == ExchangeStatus::Answered) == (cut == head.size()));
+    }
+}
+
 // Guards against the rest of a body that a later request is taken for: a backend server may answer
 // before it has read the body, and reads on.
 TEST_CASE("A connection whose request was answered before its body was sent is not used again")
