Reject messages of backend servers with a start in the far future

What callers would see: after one message of another writer with a start ("born") years ahead, the backend server beside the node gets no work until the node is restarted.

Cause: the message with the latest start is the present one, and starts were checked for their type only. A departure with such a start kept all later starts of its id out of use.

--- a/packages/relay/control/backendtracker.cpp
+++ b/packages/relay/control/backendtracker.cpp
@@ -9,6 +9,8 @@
 /** A backend server ignores an acknowledgement that arrives later than a second after its message.
  */
 constexpr std::chrono::milliseconds LongestAcknowledgement{800};
+/** Clocks of one machine may differ by less; a later start is that of no backend server. */
+constexpr std::chrono::hours LongestClockError{24};
 /** Time between two status checks of a backend server that is not confirmed. */
 constexpr std::chrono::milliseconds DiscoveryInterval{300};
 
@@ -29,6 +31,18 @@
     return "leaving";
 }
 
+/** @returns the time of day, in which backend servers state their starts. */
+std::chrono::milliseconds timeOfDay()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+}
+
+bool isInFuture(std::chrono::milliseconds startedAt)
+{
+    return startedAt > timeOfDay() + LongestClockError;
+}
+
 void acknowledge(ServerExchange &exchange)
 {
     HttpResponse response = makeResponse(200, "{}");
@@ -65,6 +79,8 @@
     const auto *named = std::get_if<traffic::InstanceAnnouncement>(&message);
     if (named != nullptr && !m_isKnownService(named->m_service))
         message = MalformedAnnouncement{400, "unknown service"};
+    else if (named != nullptr && isInFuture(named->m_startedAt))
+        message = MalformedAnnouncement{400, "the start is more than a day ahead"};
     if (const MalformedAnnouncement *malformed = std::get_if<MalformedAnnouncement>(&message)) {
         m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Warn,
                              {{"event", "announcement-rejected"},
@@ -139,10 +155,9 @@
 
 void BackendTracker::handleDeparture(const DepartureNotice &notice)
 {
-    // Backend servers state their starts in wall-clock time of the same machine.
-    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch());
-    applyEffect(traffic::depart(m_instances, notice.m_id, notice.m_startedAt, now), notice.m_id);
+    const std::chrono::milliseconds startedAt =
+            isInFuture(notice.m_startedAt) ? std::chrono::milliseconds{0} : notice.m_startedAt;
+    applyEffect(traffic::depart(m_instances, notice.m_id, startedAt, timeOfDay()), notice.m_id);
 }
 
 void BackendTracker::applyEffect(traffic::AnnouncementEffect effect, const std::string &id)
