Check the range of values that other nodes and the store state

What callers would see: requests of a route turned away everywhere because one row or one node states observations that are infinite, negative or no number; an organisation beyond its rate by tokens without end; work sent to a server with a negative load.

Cause: these values were checked for their type and not for their range. Durations that do not fit into 64 bits were converted, which is undefined.

--- a/packages/model/json/fields.cpp
+++ b/packages/model/json/fields.cpp
@@ -50,8 +50,10 @@
 std::optional<std::chrono::milliseconds> durationOf(const json::object &object,
                                                     std::string_view name)
 {
+    // Seconds beyond this do not fit into a 64-bit number of milliseconds.
+    constexpr double LargestSeconds = 9e15;
     const std::optional<double> seconds = numberOf(object, name);
-    if (!seconds)
+    if (!seconds || !(std::abs(*seconds) <= LargestSeconds))
         return std::nullopt;
     return std::chrono::duration_cast<std::chrono::milliseconds>(
             std::chrono::duration<double>(*seconds));
--- a/packages/model/json/fields.h
+++ b/packages/model/json/fields.h
@@ -17,7 +17,7 @@
 std::optional<std::string> textOf(const boost::json::object &object, std::string_view name);
 std::optional<std::int64_t> integerOf(const boost::json::object &object, std::string_view name);
 std::optional<double> numberOf(const boost::json::object &object, std::string_view name);
-/** The field is a duration in seconds, possibly fractional. */
+/** The field is a duration in seconds, possibly fractional; one that does not fit is none. */
 std::optional<std::chrono::milliseconds> durationOf(const boost::json::object &object,
                                                     std::string_view name);
 /** @} */
--- a/packages/relay/frames/framecodec.cpp
+++ b/packages/relay/frames/framecodec.cpp
@@ -25,11 +25,16 @@
     message.set_relative_hold(static_cast<std::uint32_t>(load.m_relativeHold * 1e3));
 }
 
+int toCount(std::uint32_t value)
+{
+    constexpr std::uint32_t Largest = std::numeric_limits<int>::max();
+    return static_cast<int>(std::min(value, Largest));
+}
+
 traffic::TargetLoad read(const wire::Load &message)
 {
-    return {static_cast<int>(message.limit()), static_cast<int>(message.running()),
-            static_cast<int>(message.waiting()), message.hold_microseconds() * 1e-6,
-            message.relative_hold() * 1e-3};
+    return {toCount(message.limit()), toCount(message.running()), toCount(message.waiting()),
+            message.hold_microseconds() * 1e-6, message.relative_hold() * 1e-3};
 }
 
 template<typename Message>
@@ -218,6 +223,13 @@
     message.set_tokens(grant.m_tokens);
 }
 
+/** @returns the value, or 0 if it is negative, no number or beyond any work or rate. */
+double toAmount(double value)
+{
+    constexpr double ImplausibleAmount = 1e9;
+    return value > 0 && value < ImplausibleAmount ? value : 0.0;
+}
+
 Status readStatus(const wire::Status &message)
 {
     Status status;
@@ -228,17 +240,17 @@
     status.m_reachesStore = message.reaches_store();
     status.m_heldVersion = message.held_version();
     for (const wire::RouteProfile &profile : message.profile()) {
-        traffic::RouteProfile &observed = status.m_profile[profile.route()];
-        observed.m_runs = profile.runs();
-        observed.m_activeSeconds = profile.active_seconds();
+        traffic::RouteProfile observed{profile.runs(), profile.active_seconds(), {}};
         for (const wire::CalledRoute &called : profile.calls())
             observed.m_calls[called.route()] = called.calls();
+        if (traffic::isPlausible(observed))
+            status.m_profile[profile.route()] = std::move(observed);
     }
     for (const wire::ServiceDemand &demand : message.demand()) {
         traffic::WorkByLevel &levels = status.m_demand.try_emplace(demand.service()).first->second;
         const std::size_t sent = static_cast<std::size_t>(demand.work_size());
         for (std::size_t level = 0; level < std::min(sent, levels.size()); ++level)
-            levels[level] = demand.work(static_cast<int>(level));
+            levels[level] = toAmount(demand.work(static_cast<int>(level)));
     }
     return status;
 }
@@ -334,9 +346,10 @@
                               message.policy_document().document()};
     case wire::Frame::kTokenRequest:
         return TokenRequest{message.token_request().organisation(),
-                            message.token_request().wanted()};
+                            toAmount(message.token_request().wanted())};
     case wire::Frame::kTokenGrant:
-        return TokenGrant{message.token_grant().organisation(), message.token_grant().tokens()};
+        return TokenGrant{message.token_grant().organisation(),
+                          toAmount(message.token_grant().tokens())};
     case wire::Frame::PAYLOAD_NOT_SET:
         break;
     }
--- a/packages/relay/store/noderow.cpp
+++ b/packages/relay/store/noderow.cpp
@@ -1,25 +1,44 @@
 #include "relay/store/noderow.h"
 
 #include "model/json/fields.h"
+#include "relay/http/socketoptions.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_to.hpp>
 
+#include <stdexcept>
+
 namespace chervilmount::relay {
 
 namespace json = boost::json;
 
 namespace {
 
-/** Unlike model::integerOf() this accepts no floating-point numbers, as nodes write none. */
-std::optional<std::int64_t> integerOf(const json::object &object, const char *name)
+/** The end of the year 9999. A later start would make each record of the node itself an older one.
+ */
+constexpr std::int64_t LatestStartMilliseconds = 253402300799999;
+
+/** Reads the start of a process. Unlike model::integerOf() this accepts no floating-point numbers,
+ * as nodes write none. */
+std::optional<std::chrono::milliseconds> startOf(const json::object &object)
 {
-    const json::value *value = object.if_contains(name);
-    if (value == nullptr || !value->is_int64())
+    const json::value *value = object.if_contains("startedAtMilliseconds");
+    if (value == nullptr || !value->is_int64() || value->get_int64() < 0
+        || value->get_int64() > LatestStartMilliseconds)
         return std::nullopt;
-    return value->as_int64();
+    return std::chrono::milliseconds(value->get_int64());
+}
+
+bool isEndpoint(const std::string &address)
+{
+    try {
+        parseEndpoint(address);
+    } catch (const std::invalid_argument &) {
+        return false;
+    }
+    return true;
 }
 
 std::optional<traffic::DepartedInstance> parseDeparture(const json::value &value)
@@ -28,10 +47,10 @@
     if (object == nullptr)
         return std::nullopt;
     const std::optional<std::string> id = model::textOf(*object, "id");
-    const std::optional<std::int64_t> startedAt = integerOf(*object, "startedAtMilliseconds");
+    const std::optional<std::chrono::milliseconds> startedAt = startOf(*object);
     if (!id || !startedAt)
         return std::nullopt;
-    return traffic::DepartedInstance{*id, std::chrono::milliseconds(*startedAt)};
+    return traffic::DepartedInstance{*id, *startedAt};
 }
 
 json::object toJson(const traffic::CallProfile &profile)
@@ -60,13 +79,13 @@
         const std::optional<double> activeSeconds = model::numberOf(*route, "activeSeconds");
         if (!runs || !activeSeconds)
             continue;
-        traffic::RouteProfile &observed = profile[std::string(entry.key())];
-        observed.m_runs = *runs;
-        observed.m_activeSeconds = *activeSeconds;
+        traffic::RouteProfile observed{*runs, *activeSeconds, {}};
         for (const json::key_value_pair &call : calls->get_object()) {
             if (call.value().is_number())
                 observed.m_calls[std::string(call.key())] = call.value().to_number<double>();
         }
+        if (traffic::isPlausible(observed))
+            profile[std::string(entry.key())] = std::move(observed);
     }
     return profile;
 }
@@ -98,15 +117,15 @@
     const std::optional<std::string> address = model::textOf(*object, "address");
     const std::optional<std::string> domain = model::textOf(*object, "failureDomain");
     const std::optional<std::string> region = model::textOf(*object, "region");
-    const std::optional<std::int64_t> startedAt = integerOf(*object, "startedAtMilliseconds");
-    if (!address || !domain || !region || !startedAt)
+    const std::optional<std::chrono::milliseconds> startedAt = startOf(*object);
+    if (!address || !isEndpoint(*address) || !domain || !region || !startedAt)
         return std::nullopt;
     NodeRow result;
     result.m_record.m_node = row.m_key;
     result.m_record.m_address = *address;
     result.m_record.m_failureDomain = *domain;
     result.m_record.m_region = *region;
-    result.m_record.m_startedAt = std::chrono::milliseconds(*startedAt);
+    result.m_record.m_startedAt = *startedAt;
     if (const json::value *departed = object->if_contains("departed");
         departed != nullptr && departed->is_array()) {
         for (const json::value &entry : departed->as_array()) {
--- a/packages/relay/store/noderow.h
+++ b/packages/relay/store/noderow.h
@@ -27,7 +27,16 @@
 /** @returns the row in its stored form, with version 0. */
 StoreRow toStoreRow(const NodeRow &row);
 
-/** @returns the node row, or nothing if the stored row cannot be read. */
+/** Names what parseNodeRow() accepts, for rows that it does not. */
+constexpr const char *UnreadableNodeRow =
+        "not a node's row; accepted are an address ip:port with a port from 1 to 65535, "
+        "failureDomain, region and startedAtMilliseconds from 0 to 253402300799999";
+
+/**
+ * Reads a row, which another writer may have left. Departures and routes of the profile that are
+ * malformed or out of range are omitted.
+ * @returns nothing if the row cannot be read.
+ */
 std::optional<NodeRow> parseNodeRow(const StoreRow &row);
 
 } // namespace chervilmount::relay
--- a/packages/traffic/profile/callprofile.cpp
+++ b/packages/traffic/profile/callprofile.cpp
@@ -22,6 +22,8 @@
 /** Calls per run below this value are considered wrong attributions. */
 constexpr double MinimumCallsPerRun = 0.25;
 constexpr int MaximumCallDepth = 15;
+/** More runs, calls or seconds than decaying observations of one backend server add up to. */
+constexpr double ImplausibleCount = 1e9;
 
 bool isObserved(const RouteProfile &route)
 {
@@ -49,6 +51,14 @@
 
 } // namespace
 
+bool isPlausible(const RouteProfile &route)
+{
+    const auto inRange = [](double value) { return value >= 0 && value < ImplausibleCount; };
+    return inRange(route.m_runs) && inRange(route.m_activeSeconds)
+            && std::all_of(route.m_calls.begin(), route.m_calls.end(),
+                           [&inRange](const auto &entry) { return inRange(entry.second); });
+}
+
 void recordNestedCall(CallProfile &profile, const std::string &parent, const std::string &route,
                       double count)
 {
--- a/packages/traffic/profile/callprofile.h
+++ b/packages/traffic/profile/callprofile.h
@@ -23,6 +23,10 @@
 /** Number of nested calls, by route of the call. */
 using CallCounts = std::unordered_map<std::string, double>;
 
+/** @returns whether all counts and times are finite, not negative, and no more than a backend
+ * server can have observed; a profile of another node or of the store may be anything. */
+bool isPlausible(const RouteProfile &route);
+
 /** Counts nested calls on @p route made by a run of @p parent. */
 void recordNestedCall(CallProfile &profile, const std::string &parent, const std::string &route,
                       double count = 1.0);
