Read on behind entries of the store that cannot be read

What callers would see: with odd entries of another writer in the table of nodes, nodes do not find each other and none becomes ready.

Cause: the next page of a table began behind the last entry that could be read. A page that ended with others was read again in part, also without end and without a pause; one without any readable entry ended the table. The policy was read with its whole table, so that entries before its key could fill the first page. Nothing was logged.

Each entry that is passed over is logged with its key and what is accepted (event=store-entry-unreadable).

--- a/packages/relay/control/noderegistry.cpp
+++ b/packages/relay/control/noderegistry.cpp
@@ -125,7 +125,7 @@
     m_version = row.m_version;
     // Only this node writes the row, so this value comes from an earlier process or from an earlier
     // write of this process whose outcome was unknown.
-    const std::optional<NodeRow> node = parseNodeRow(row);
+    const std::optional<NodeRow> node = readRow(row);
     if (!node)
         return false;
     if (m_profile.empty())
@@ -143,17 +143,26 @@
 
 void NodeRegistry::addPeer(const StoreRow &row)
 {
-    const std::optional<NodeRow> node = parseNodeRow(row);
-    if (!node) {
-        m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Warn,
-                             {{"event", "node-row-unreadable"}, {"key", row.m_key}},
-                             std::chrono::steady_clock::now());
+    const std::optional<NodeRow> node = readRow(row);
+    if (!node)
         return;
-    }
     m_mesh.updatePeer(node->m_record);
     m_mesh.setInitialProfile(node->m_record.m_node, node->m_profile);
 }
 
+std::optional<NodeRow> NodeRegistry::readRow(const StoreRow &row)
+{
+    std::optional<NodeRow> node = parseNodeRow(row);
+    if (!node)
+        m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Warn,
+                             {{"event", "store-entry-unreadable"},
+                              {"table", NodeTable},
+                              {"key", row.m_key},
+                              {"problem", UnreadableNodeRow}},
+                             std::chrono::steady_clock::now());
+    return node;
+}
+
 void NodeRegistry::retry(std::chrono::steady_clock::time_point calledAt,
                          const std::function<void()> &action)
 {
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -145,6 +145,14 @@
     m_store.m_onReachabilityChanged = [this] {
         logState(m_store.m_reachable ? "store-reachable" : "store-lost", {});
     };
+    m_store.m_onUnreadableEntry = [this](const UnreadableEntry &entry) {
+        m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Warn,
+                             {{"event", "store-entry-unreadable"},
+                              {"table", entry.m_table},
+                              {"key", entry.m_key},
+                              {"problem", entry.m_problem}},
+                             std::chrono::steady_clock::now());
+    };
     m_store.followPolicy(
             [this](const PolicyDocument &document) { m_policy.applyIfNewer(document, "store"); });
     m_registry.start();
--- a/packages/relay/store/sharedstore.h
+++ b/packages/relay/store/sharedstore.h
@@ -35,6 +35,16 @@
     StoreRow m_row;
 };
 
+/** An entry of the store that cannot be read; the others beside it are used. */
+struct UnreadableEntry
+{
+    std::string m_table;
+    /** Empty if the entry has no readable key. */
+    std::string m_key;
+    /** What is wrong, and what is accepted. */
+    std::string m_problem;
+};
+
 /** Interface to the platform's store; implemented by the platform's adapter. */
 class SharedStore
 {
@@ -74,6 +84,8 @@
     bool m_reachable = true;
     /** Called when m_reachable has changed. */
     std::function<void()> m_onReachabilityChanged;
+    /** Called for each entry that cannot be read. */
+    std::function<void(const UnreadableEntry &)> m_onUnreadableEntry;
 
     /** Calls made so far, and those that failed. @{ */
     std::uint64_t m_calls = 0;
--- a/tests/platform/standin/rowstore.cpp
+++ b/tests/platform/standin/rowstore.cpp
@@ -15,6 +15,20 @@
 
 namespace {
 
+std::string percentDecode(const std::string &text)
+{
+    std::string result;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        if (text[index] == '%' && index + 2 < text.size()) {
+            result += static_cast<char>(std::stoi(text.substr(index + 1, 2), nullptr, 16));
+            index += 2;
+        } else {
+            result += text[index];
+        }
+    }
+    return result;
+}
+
 std::map<std::string, std::string> parseQuery(const std::string &target)
 {
     std::map<std::string, std::string> query;
@@ -24,7 +38,7 @@
         const std::string part = target.substr(position + 1, next - position - 1);
         const std::size_t equals = part.find('=');
         if (equals != std::string::npos)
-            query[part.substr(0, equals)] = part.substr(equals + 1);
+            query[part.substr(0, equals)] = percentDecode(part.substr(equals + 1));
         position = next;
     }
     return query;
@@ -196,12 +210,19 @@
 {
     const std::string table = query.at("table");
     const std::string from = query.contains("from") ? query.at("from") : "";
+    std::map<std::string, json::value> entries = m_oddEntries[table];
+    for (const auto &[key, row] : m_tables[table])
+        entries.emplace(key, rowJson(table, key));
+    const std::size_t limit =
+            query.contains("limit") ? std::stoul(query.at("limit")) : m_pageEntries;
     json::array rows;
-    for (const auto &[key, row] : m_tables[table]) {
-        if (key >= from)
-            rows.push_back(rowJson(table, key));
+    bool truncated = false;
+    for (auto entry = entries.lower_bound(from); entry != entries.end() && !truncated; ++entry) {
+        truncated = rows.size() >= std::min(limit, m_pageEntries);
+        if (!truncated)
+            rows.push_back(entry->second);
     }
-    respond(exchange, 200, {{"rows", std::move(rows)}, {"truncated", false}});
+    respond(exchange, 200, {{"rows", std::move(rows)}, {"truncated", truncated}});
 }
 
 void RowStore::feed(const std::string &address, const Exchange &exchange,
--- a/tests/platform/standin/rowstore.h
+++ b/tests/platform/standin/rowstore.h
@@ -66,6 +66,11 @@
     /** Performs the delayed writes whose conditions still hold. */
     void performHeldWrites();
 
+    /** Entries of another writer by table and key, as they are sent. */
+    std::map<std::string, std::map<std::string, boost::json::value>> m_oddEntries;
+    /** Entries of one response; further ones are on the next page. */
+    std::size_t m_pageEntries = 500;
+
     RowStoreFaults m_faults;
     /** Addresses whose listeners answer every call with 503. */
     std::set<std::string> m_refusing;
