Keep the connections of callers that do not read for some seconds

Cause: TCP_USER_TIMEOUT of 2 s on every connection. It also counts data that waits for a window which the other side keeps closed. Ruled out: the session's own bound, which is the idle time-out.

Change: callers' connections have no such bound; the session's own one and keep-alive probes remain. Links, the store and backend servers keep it.

--- a/packages/relay/http/httpclientconnection.cpp
+++ b/packages/relay/http/httpclientconnection.cpp
@@ -65,6 +65,7 @@
                                    return;
                                }
                                setConnectionOptions(self->m_socket);
+                               limitUnacknowledgedTime(self->m_socket);
                                self->read();
                                callback(true);
                            });
--- a/packages/relay/http/socketoptions.cpp
+++ b/packages/relay/http/socketoptions.cpp
@@ -17,21 +17,27 @@
 constexpr int KeepAliveProbes = 2;
 constexpr std::int64_t LargestPort = 65535;
 
+void setOption(boost::asio::ip::tcp::socket &socket, int level, int option, int value)
+{
+    ::setsockopt(socket.native_handle(), level, option, &value, sizeof(value));
+}
+
 } // namespace
 
 void setConnectionOptions(boost::asio::ip::tcp::socket &socket)
 {
     boost::system::error_code ignored;
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    const int handle = socket.native_handle();
-    const auto set = [handle](int level, int option, int value) {
-        ::setsockopt(handle, level, option, &value, sizeof(value));
-    };
-    set(SOL_SOCKET, SO_KEEPALIVE, 1);
-    set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
-    set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveSeconds);
-    set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
-    set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(SilentConnectionTimeout.count()));
+    setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+}
+
+void limitUnacknowledgedTime(boost::asio::ip::tcp::socket &socket)
+{
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+              static_cast<int>(SilentConnectionTimeout.count()));
 }
 
 boost::asio::ip::tcp::endpoint parseEndpoint(const std::string &text)
--- a/packages/relay/link/frameconnection.cpp
+++ b/packages/relay/link/frameconnection.cpp
@@ -29,6 +29,7 @@
 void FrameConnection::start()
 {
     setConnectionOptions(m_socket);
+    limitUnacknowledgedTime(m_socket);
     read();
 }
 
--- a/tests/relay/httpsession_test.cpp
+++ b/tests/relay/httpsession_test.cpp
@@ -353,3 +353,24 @@
     CHECK(exchanges[2]->receivedAt() > firstBegun);
     CHECK(exchanges[2]->receivedAt() < firstAnswered);
 }
+
+// Guards against answers of requests that have run and are lost because the caller does not read
+// for some seconds: the bound for connections whose other side is gone ended this one too.
+TEST_CASE("A caller that does not read for some seconds gets its answers")
+{
+    EchoServer server;
+    // More than the buffers of both ends hold.
+    server.m_additionalBytes = 32UL * 1024 * 1024;
+    RawCaller caller(server.m_context, server.m_address);
+    caller.send(get("/slow"));
+    caller.stopReading();
+    constexpr std::chrono::milliseconds Pause{4000};
+    runUntil(
+            server.m_context, [] { return false; }, Pause);
+    caller.resumeReading();
+    runUntil(server.m_context, [&] {
+        return caller.m_closed || caller.m_received.size() > server.m_additionalBytes;
+    });
+    CHECK_FALSE(caller.m_closed);
+    CHECK(caller.m_received.size() > server.m_additionalBytes);
+}
