Accept departures from other nodes only with a start that is a date

A departure with a start in the far future, in a greeting of another node, would keep all later starts of that backend server out of use and push the other departures out of the list, as in a row of the store. Both places use one check now (traffic::isPlausibleStart).

--- a/packages/relay/control/backendtracker.cpp
+++ b/packages/relay/control/backendtracker.cpp
@@ -9,7 +9,8 @@
 /** A backend server ignores an acknowledgement that arrives later than a second after its message.
  */
 constexpr std::chrono::milliseconds LongestAcknowledgement{800};
-/** Clocks of one machine may differ by less; a later start is that of no backend server. */
+/** Starts that lie further ahead are malformed. The time of day of a machine may be stepped by
+ * less. */
 constexpr std::chrono::hours LongestClockError{24};
 /** Time between two status checks of a backend server that is not confirmed. */
 constexpr std::chrono::milliseconds DiscoveryInterval{300};
--- a/packages/relay/frames/framecodec.cpp
+++ b/packages/relay/frames/framecodec.cpp
@@ -51,10 +51,11 @@
 std::vector<traffic::DepartedInstance> readDepartures(const Message &message)
 {
     std::vector<traffic::DepartedInstance> departed;
-    for (const wire::Departure &instance : message.departed())
-        departed.push_back(
-                {instance.instance(),
-                 std::chrono::milliseconds(static_cast<std::int64_t>(instance.started_at()))});
+    for (const wire::Departure &instance : message.departed()) {
+        const std::chrono::milliseconds startedAt(static_cast<std::int64_t>(instance.started_at()));
+        if (traffic::isPlausibleStart(startedAt))
+            departed.push_back({instance.instance(), startedAt});
+    }
     return departed;
 }
 
--- a/packages/relay/store/noderow.cpp
+++ b/packages/relay/store/noderow.cpp
@@ -16,17 +16,13 @@
 
 namespace {
 
-/** The end of the year 9999. A later start would make each record of the node itself an older one.
- */
-constexpr std::int64_t LatestStartMilliseconds = 253402300799999;
-
 /** Reads the start of a process. Unlike model::integerOf() this accepts no floating-point numbers,
  * as nodes write none. */
 std::optional<std::chrono::milliseconds> startOf(const json::object &object)
 {
     const json::value *value = object.if_contains("startedAtMilliseconds");
-    if (value == nullptr || !value->is_int64() || value->get_int64() < 0
-        || value->get_int64() > LatestStartMilliseconds)
+    if (value == nullptr || !value->is_int64()
+        || !traffic::isPlausibleStart(std::chrono::milliseconds(value->get_int64())))
         return std::nullopt;
     return std::chrono::milliseconds(value->get_int64());
 }
--- a/packages/traffic/instance/instanceregister.cpp
+++ b/packages/traffic/instance/instanceregister.cpp
@@ -7,6 +7,8 @@
 /** Maximum number of departures kept; only the latest few backend servers can still send messages.
  */
 constexpr std::size_t MaximumDepartures = 16;
+/** The end of the year 9999. */
+constexpr std::chrono::milliseconds LatestStart{253402300799999};
 
 bool hasDeparted(const InstanceRegister &instances, const InstanceAnnouncement &announcement)
 {
@@ -123,6 +125,11 @@
         instances.m_usable = false;
 }
 
+bool isPlausibleStart(std::chrono::milliseconds startedAt)
+{
+    return startedAt.count() >= 0 && startedAt <= LatestStart;
+}
+
 void mergeDepartures(Departures &departures, const std::vector<DepartedInstance> &added)
 {
     for (const DepartedInstance &instance : added)
--- a/packages/traffic/instance/instanceregister.h
+++ b/packages/traffic/instance/instanceregister.h
@@ -36,6 +36,10 @@
     bool operator==(const DepartedInstance &other) const = default;
 };
 
+/** @returns whether a start that another process states lies between 1970 and the year 9999. A
+ * later one would make all other starts earlier ones. */
+bool isPlausibleStart(std::chrono::milliseconds startedAt);
+
 /** Latest start time that has departed, by instance id. */
 using Departures = std::map<std::string, std::chrono::milliseconds>;
 
--- a/tests/platform/foreignvalues_test.cpp
+++ b/tests/platform/foreignvalues_test.cpp
@@ -70,6 +70,19 @@
     CHECK(sent(TokenGrant{"o", 2.5}).m_tokens == 2.5);
 }
 
+// Guards against a departure that keeps all later starts of a backend server out of use.
+TEST_CASE("Departures from other nodes have a start that is a date")
+{
+    Hello hello;
+    hello.m_departed = {{"sound", std::chrono::hours{24}},
+                        {"late", std::chrono::milliseconds::max()},
+                        {"early", std::chrono::milliseconds{-1}}};
+    hello.m_record.m_departed = hello.m_departed;
+    const Hello received = sent(hello);
+    CHECK(received.m_departed.size() == 1);
+    CHECK(received.m_record.m_departed.size() == 1);
+}
+
 // Guards against a backend server with a negative load, which looks like the best one.
 TEST_CASE("A load of another node is not negative")
 {
