Release the connection of a status check that ends with its node

Cause: the callback of the check refers to the connection that owns it. When the node is destroyed while the check is under way, neither is freed. The reference is older; checks are under way more often since a node sends one as soon as it has a link. A process that ends is not affected.

--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -229,10 +229,13 @@
                 request.method(http::verb::get);
                 request.target({healthPath.data(), healthPath.size()});
                 request.set(http::field::host, m_settings.m_backendAddress);
+                // The connection owns this callback, so a reference to it would keep both alive.
                 exchangeUntil(m_timers, std::chrono::steady_clock::now() + StatusCheckTimeout,
                               connection, std::move(request), {},
-                              [this, connection, callback](const ExchangeResult &result) {
-                                  m_pool.release(connection);
+                              [this, checked = std::weak_ptr<HttpClientConnection>(connection),
+                               callback](const ExchangeResult &result) {
+                                  if (std::shared_ptr<HttpClientConnection> used = checked.lock())
+                                      m_pool.release(std::move(used));
                                   traffic::InstanceAnnouncement instance;
                                   instance.m_id = fieldValue(result.m_response,
                                                              m_settings.m_headers.m_instance);
