--- a/tests/node/support/fleet.cpp
+++ b/tests/node/support/fleet.cpp
@@ -4,6 +4,7 @@
 #include "model/digest/sha256.h"
 
 #include "adapters/logging/decisionlog.h"
+#include "support/freeaddress.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -20,9 +21,7 @@
 std::string freeAddress()
 {
     boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor(context,
-                                            {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    return freeAddress(context);
 }
 
 std::string sampleConfiguration()
