Log the version that decided a request, its source and its age

The line of a request named the version in force when the request ended, not the one that had decided it, and nothing told how old the node's knowledge of the store was.

Each line now has the deciding version, its source (the store, or the name of the node that sent it), the time since it was applied and the time since the store last answered this node about the policy.

--- a/packages/relay/control/activepolicy.cpp
+++ b/packages/relay/control/activepolicy.cpp
@@ -31,6 +31,8 @@
     }
     const std::uint64_t before = m_document.m_version;
     m_document = document;
+    m_source = source;
+    m_appliedAt = now;
     m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Info,
                          {{"event", "policy-in-force"},
                           {"version", std::to_string(document.m_version)},
--- a/packages/relay/control/activepolicy.h
+++ b/packages/relay/control/activepolicy.h
@@ -4,6 +4,7 @@
 #include "relay/telemetry/boundedlog.h"
 #include "traffic/policy/policyindex.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -30,6 +31,10 @@
     const std::shared_ptr<const traffic::PolicyIndex> &current() const { return m_current; }
 
     const PolicyDocument &document() const { return m_document; }
+    /** @returns where the version in force comes from: the store, or the name of a node. */
+    const std::string &source() const { return m_source; }
+    /** @returns when the version in force was applied. */
+    std::chrono::steady_clock::time_point appliedAt() const { return m_appliedAt; }
     std::uint64_t version() const { return m_document.m_version; }
 
     /** Called after a version has come into force. */
@@ -40,6 +45,8 @@
     BoundedLog &m_log;
     std::shared_ptr<const traffic::PolicyIndex> m_current;
     PolicyDocument m_document;
+    std::string m_source;
+    std::chrono::steady_clock::time_point m_appliedAt;
     /** Version that was rejected last; it is not parsed and logged again. */
     std::uint64_t m_rejected = 0;
 };
--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -21,6 +21,15 @@
  * node starts. */
 constexpr Milliseconds UnavailableRetryAfter{300};
 
+/** @returns the milliseconds since a time, or -1 if it is unset. */
+std::string formatAge(std::chrono::steady_clock::time_point since,
+                      std::chrono::steady_clock::time_point now)
+{
+    if (since == std::chrono::steady_clock::time_point())
+        return "-1";
+    return std::to_string(std::chrono::floor<Milliseconds>(now - since).count());
+}
+
 std::string formatSeconds(Milliseconds duration)
 {
     const std::int64_t count = duration.count();
@@ -412,7 +421,10 @@
                             {"nodes", nodes},
                             {"arrivals", std::to_string(m_arrivals)},
                             {"took_ms", std::to_string(took.count())},
-                            {"policy", std::to_string(m_services.m_policy.version())}});
+                            {"policy", std::to_string(m_entry.m_policyVersion)},
+                            {"policy_source", m_entry.m_policySource},
+                            {"policy_age_ms", formatAge(m_entry.m_policyAppliedAt, now)},
+                            {"store_age_ms", formatAge(m_entry.m_storeHeardAt, now)}});
 }
 
 double EntryCall::allowedWaitShare() const
--- a/packages/relay/entry/entryservices.h
+++ b/packages/relay/entry/entryservices.h
@@ -5,6 +5,7 @@
 #include "relay/inbound/localgate.h"
 #include "relay/link/mesh.h"
 #include "relay/runtime/relaysettings.h"
+#include "relay/store/sharedstore.h"
 #include "relay/telemetry/boundedlog.h"
 #include "relay/telemetry/counters.h"
 #include "relay/timers/timerqueue.h"
@@ -29,6 +30,7 @@
     const RelaySettings &m_settings;
     TimerQueue &m_timers;
     ActivePolicy &m_policy;
+    const SharedStore &m_store;
     LocalGate &m_gate;
     Mesh &m_mesh;
     Counters &m_counters;
--- a/packages/relay/link/mesh.cpp
+++ b/packages/relay/link/mesh.cpp
@@ -45,12 +45,12 @@
 } // namespace
 
 Mesh::Mesh(boost::asio::io_context &context, TimerQueue &timers, NodeRecord self,
-           MeshHandlers handlers)
+           const std::string &listenAddress, MeshHandlers handlers)
     : m_context(context)
     , m_timers(timers)
     , m_self(std::move(self))
     , m_handlers(std::move(handlers))
-    , m_acceptor(context, parseEndpoint(m_self.m_address))
+    , m_acceptor(context, parseEndpoint(listenAddress.empty() ? m_self.m_address : listenAddress))
     , m_lastTick(std::chrono::steady_clock::now())
 {
     accept();
@@ -479,7 +479,7 @@
         peer.m_target.m_sentSinceReport = 0;
         completeCall(peer, failure->m_id, *failure);
     } else if (const PolicyDocument *document = std::get_if<PolicyDocument>(&frame)) {
-        m_handlers.m_onPolicyDocument(*document);
+        m_handlers.m_onPolicyDocument(peer.m_record.m_node, *document);
     } else if (const TokenGrant *grant = std::get_if<TokenGrant>(&frame)) {
         m_handlers.m_onTokensGranted(*grant);
     }
--- a/packages/relay/link/mesh.h
+++ b/packages/relay/link/mesh.h
@@ -35,7 +35,8 @@
     std::function<PolicyDocument()> m_policyDocument;
     /** Called when a node announces its policy version. */
     std::function<void(const std::string &node, std::uint64_t version)> m_onPolicyVersion;
-    std::function<void(const PolicyDocument &)> m_onPolicyDocument;
+    /** Called with the policy of a node. */
+    std::function<void(const std::string &node, const PolicyDocument &)> m_onPolicyDocument;
     /** @returns how many tokens are handed over; they have been subtracted here. */
     std::function<double(const TokenRequest &)> m_grantTokens;
     std::function<void(const TokenGrant &)> m_onTokensGranted;
@@ -96,12 +97,13 @@
     using TimePoint = std::chrono::steady_clock::time_point;
 
     /**
-     * @param self this node's record; the mesh listens on its address.
+     * @param self this node's record.
+     * @param listenAddress address to listen on; empty for the one in the record.
      * @throws std::invalid_argument if the address is malformed.
      * @throws boost::system::system_error if the address cannot be bound.
      */
     Mesh(boost::asio::io_context &context, TimerQueue &timers, NodeRecord self,
-         MeshHandlers handlers);
+         const std::string &listenAddress, MeshHandlers handlers);
     ~Mesh();
 
     Mesh(const Mesh &) = delete;
--- a/packages/relay/runtime/decisionsettings.cpp
+++ b/packages/relay/runtime/decisionsettings.cpp
@@ -3,9 +3,12 @@
 #include "model/findings/findingserror.h"
 #include "model/json/document.h"
 #include "model/json/objectreader.h"
+#include "relay/http/socketoptions.h"
 
 #include <limits>
 #include <optional>
+#include <stdexcept>
+#include <string>
 
 namespace chervilmount::relay {
 
@@ -106,6 +109,19 @@
     readMilliseconds(reader, "startWaitMilliseconds", settings.m_startWait.m_longest);
 }
 
+void readLinks(ObjectReader &reader, RelaySettings &settings)
+{
+    std::string &address = settings.m_peerListenAddress;
+    reader.readString("listenAddress", address, Presence::Optional);
+    if (address.empty())
+        return;
+    try {
+        parseEndpoint(address);
+    } catch (const std::invalid_argument &error) {
+        reader.report("listenAddress", error.what(), "use ip:port");
+    }
+}
+
 } // namespace
 
 void parseDecisionSettings(const std::string &text, const std::string &source,
@@ -130,6 +146,7 @@
         read("retryAfter", readRetryAfter, settings.m_retryAfter);
         read("rates", readRates, settings.m_rates);
         read("callers", readCallers, settings);
+        read("links", readLinks, settings);
         reader.finish();
     }
     if (!findings.empty())
--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -68,24 +68,18 @@
     , m_policy(std::move(parsers.m_policy), m_log)
     , m_gate(context, m_timers, m_settings, m_counters, m_log, m_bodies)
     , m_backend(std::move(parsers.m_announcement), m_gate, m_log)
-    , m_mesh(context, m_timers, ownRecord(m_settings, startedAt), meshHandlers())
+    , m_mesh(context, m_timers, ownRecord(m_settings, startedAt), m_settings.m_peerListenAddress,
+             meshHandlers())
     , m_loads(m_settings.m_treeAdmission, m_gate)
     , m_registry(store, m_mesh, m_timers, m_log, m_random)
-    , m_entryServices{m_settings,
-                      m_timers,
-                      m_policy,
-                      m_gate,
-                      m_mesh,
-                      m_counters,
-                      m_log,
-                      m_rates,
-                      m_loads,
-                      m_repeats,
-                      m_splits,
-                      m_random,
-                      {m_settings.m_stop, {}},
-                      {},
-                      {}}
+    , m_entryServices{m_settings, m_timers,
+                      m_policy,   m_store,
+                      m_gate,     m_mesh,
+                      m_counters, m_log,
+                      m_rates,    m_loads,
+                      m_repeats,  m_splits,
+                      m_random,   {m_settings.m_stop, {}},
+                      {},         {}}
     , m_entry(m_entryServices, std::chrono::steady_clock::now())
     , m_platformLimits(platformLimits())
     , m_callers(context, m_settings.m_callerAddress, m_callerLimits,
@@ -247,8 +241,8 @@
     handlers.m_onPolicyVersion = [this](const std::string &node, std::uint64_t version) {
         handlePeerPolicyVersion(node, version);
     };
-    handlers.m_onPolicyDocument = [this](const PolicyDocument &document) {
-        m_policy.applyIfNewer(document, "node");
+    handlers.m_onPolicyDocument = [this](const std::string &node, const PolicyDocument &document) {
+        m_policy.applyIfNewer(document, node);
     };
     handlers.m_grantTokens = [this](const TokenRequest &request) {
         return traffic::giveTokens(m_rates, request.m_organisation, request.m_wanted,
--- a/packages/relay/runtime/relaysettings.h
+++ b/packages/relay/runtime/relaysettings.h
@@ -59,8 +59,10 @@
     std::string m_readinessPath = "/readiness";
     /** Listener for the backend server's announcements. */
     std::string m_announcementAddress;
-    /** Listener for other nodes. */
+    /** Address at which other nodes reach this one. */
     std::string m_peerAddress;
+    /** Listener for other nodes, if it differs from m_peerAddress, e.g. behind a forwarded port. */
+    std::string m_peerListenAddress;
     /** Listener for metrics; none if empty. */
     std::string m_metricsAddress;
     std::size_t m_maximumSessions = 2500;
--- a/packages/relay/store/sharedstore.h
+++ b/packages/relay/store/sharedstore.h
@@ -2,6 +2,7 @@
 
 #include "relay/frames/frames.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -82,6 +83,8 @@
 
     /** False after several failed calls in a row. */
     bool m_reachable = true;
+    /** When the store last answered a call that follows the policy; unset before the first one. */
+    std::chrono::steady_clock::time_point m_policyHeardAt;
     /** Called when m_reachable has changed. */
     std::function<void()> m_onReachabilityChanged;
     /** Called for each entry that cannot be read. */
--- a/tests/platform/standin/rowstore.cpp
+++ b/tests/platform/standin/rowstore.cpp
@@ -55,6 +55,7 @@
 std::string RowStore::addAddress()
 {
     const std::string address = freeAddress(m_context);
+    m_addresses.push_back(address);
     m_servers.emplace_back(m_context, address, m_limits,
                            [this, address](const Exchange &exchange, const HttpRequest &request) {
                                receive(address, exchange, request);
@@ -84,6 +85,22 @@
         respond(feed.m_exchange, 410, {});
 }
 
+void RowStore::forgetHistory(std::chrono::milliseconds behind)
+{
+    const auto now = std::chrono::steady_clock::now();
+    m_feedsHeldUntil = now + SilentTime;
+    m_timers.add(m_feedsHeldUntil, [this, behind] {
+        compact();
+        m_readsBehind = behind;
+        m_readsBehindUntil = std::chrono::steady_clock::now() + behind;
+    });
+}
+
+std::vector<std::string> RowStore::addresses() const
+{
+    return m_addresses;
+}
+
 void RowStore::dropPendingCalls(const std::string &address)
 {
     m_feeds.remove_if([this, &address](const Feed &feed) {
@@ -212,7 +229,7 @@
     const std::string from = query.contains("from") ? query.at("from") : "";
     std::map<std::string, json::value> entries = m_oddEntries[table];
     for (const auto &[key, row] : m_tables[table])
-        entries.emplace(key, rowJson(table, key));
+        entries.emplace(key, rowJson(table, key, rowForReads(table, key)));
     const std::size_t limit =
             query.contains("limit") ? std::stoul(query.at("limit")) : m_pageEntries;
     json::array rows;
@@ -245,13 +262,15 @@
                                                      });
                      if (found == m_feeds.end())
                          return;
-                     answerFeed(*found, true);
-                     m_feeds.erase(found);
+                     if (answerFeed(*found, true))
+                         m_feeds.erase(found);
                  });
 }
 
 bool RowStore::answerFeed(const Feed &feed, bool atOnce)
 {
+    if (std::chrono::steady_clock::now() < m_feedsHeldUntil)
+        return false;
     json::array rows;
     for (const Change &change : m_changes) {
         if (change.m_table == feed.m_table && change.m_version > feed.m_after)
@@ -265,6 +284,9 @@
 
 void RowStore::write(const std::string &table, const std::string &key, const std::string &encoded)
 {
+    if (m_tables[table].contains(key))
+        m_earlier[table + "/" + key].push_back(
+                {std::chrono::steady_clock::now(), m_tables[table][key]});
     m_tables[table][key] = {encoded, ++m_version};
     m_changes.push_back({m_version, table, key});
     std::list<Feed> waiting;
@@ -275,9 +297,25 @@
     m_feeds = std::move(waiting);
 }
 
+RowStore::Row RowStore::rowForReads(const std::string &table, const std::string &key) const
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto earlier = m_earlier.find(table + "/" + key);
+    if (now >= m_readsBehindUntil || earlier == m_earlier.end())
+        return m_tables.at(table).at(key);
+    const auto found = std::find_if(
+            earlier->second.begin(), earlier->second.end(),
+            [time = now - m_readsBehind](const EarlierRow &row) { return row.m_until > time; });
+    return found == earlier->second.end() ? m_tables.at(table).at(key) : found->m_row;
+}
+
 json::object RowStore::rowJson(const std::string &table, const std::string &key) const
 {
-    const Row &row = m_tables.at(table).at(key);
+    return rowJson(table, key, m_tables.at(table).at(key));
+}
+
+json::object RowStore::rowJson(const std::string &table, const std::string &key, const Row &row)
+{
     return {{"table", table},
             {"part", ""},
             {"key", key},
--- a/tests/platform/standin/rowstore.h
+++ b/tests/platform/standin/rowstore.h
@@ -56,6 +56,17 @@
     /** Discards the history of changes; feeds that need it get 410. */
     void compact();
 
+    /**
+     * Forgets its history as a store does that restarts: changes of the next SilentTime are not
+     * reported, then the history is gone and all calls that wait for changes end; reads return the
+     * rows of @p behind ago until that much time has passed.
+     */
+    static constexpr std::chrono::seconds SilentTime{1};
+    void forgetHistory(std::chrono::milliseconds behind);
+
+    /** @returns the addresses of all listeners. */
+    std::vector<std::string> addresses() const;
+
     /** Drops the pending calls of a node's address, or of all addresses if it is empty: they get no
      * response, and their connections stay open. */
     void dropPendingCalls(const std::string &address = "");
@@ -90,6 +101,13 @@
         std::uint64_t m_version = 0;
     };
 
+    /** An earlier value of a row, and until when it was the present one. */
+    struct EarlierRow
+    {
+        std::chrono::steady_clock::time_point m_until;
+        Row m_row;
+    };
+
     struct Change
     {
         std::uint64_t m_version = 0;
@@ -126,12 +144,17 @@
     bool answerFeed(const Feed &feed, bool atOnce);
     void write(const std::string &table, const std::string &key, const std::string &encoded);
     boost::json::object rowJson(const std::string &table, const std::string &key) const;
+    static boost::json::object rowJson(const std::string &table, const std::string &key,
+                                       const Row &row);
+    /** @returns the row as reads see it. */
+    Row rowForReads(const std::string &table, const std::string &key) const;
     void respond(const Exchange &exchange, int status, boost::json::object body);
 
     boost::asio::io_context &m_context;
     chervilmount::relay::TimerQueue m_timers;
     chervilmount::traffic::CallerLimits m_limits;
     std::list<chervilmount::relay::HttpServer> m_servers;
+    std::vector<std::string> m_addresses;
     /** When all writes received so far will have been performed. */
     std::chrono::steady_clock::time_point m_writesUntil;
     CallRate m_writeRate;
@@ -139,6 +162,14 @@
     std::vector<std::string> m_heldWrites;
     /** Rows by table and key; values are stored Base64-encoded, as they are sent. */
     std::map<std::string, std::map<std::string, Row>> m_tables;
+    /** Earlier values of rows, oldest first, by "table/key". */
+    std::map<std::string, std::vector<EarlierRow>> m_earlier;
+    /** Reads return the rows of this long ago until that time. @{ */
+    std::chrono::milliseconds m_readsBehind{0};
+    std::chrono::steady_clock::time_point m_readsBehindUntil;
+    /** @} */
+    /** Changes are not reported before this time. */
+    std::chrono::steady_clock::time_point m_feedsHeldUntil;
     std::vector<Change> m_changes;
     std::uint64_t m_version = 0;
     std::uint64_t m_compacted = 0;
