Test limits and departures that backend servers name in their answers

The stand-in of the backend server names a limit on requests and its departure in its answers, and keeps the times of its arrivals.

--- /dev/null
+++ b/tests/platform/requestlimit_test.cpp
@@ -0,0 +1,170 @@
+#include "platform/standin/fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <list>
+#include <string>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+/** The platform's bounds: from this long after a limit was named, a backend server may get one and
+ * a half times the limit and five requests in a window. @{ */
+constexpr std::chrono::seconds ContactBound{3};
+constexpr std::chrono::seconds Window{4};
+constexpr double LimitFactor = 1.5;
+constexpr int AdditionalRequests = 5;
+/** @} */
+
+/** Callers that send requests at a fixed interval to all nodes in turn, each on a connection of its
+ * own. */
+struct Load
+{
+    Fleet &m_fleet;
+    std::list<std::optional<CallerResponse>> m_responses{};
+    int m_sent = 0;
+
+    void run(std::chrono::milliseconds interval, std::chrono::milliseconds duration)
+    {
+        std::list<std::shared_ptr<chervilmount::relay::HttpClientConnection>> connections;
+        const TimePoint end = std::chrono::steady_clock::now() + duration;
+        while (std::chrono::steady_clock::now() < end) {
+            m_responses.emplace_back();
+            FleetNode &node =
+                    *m_fleet.m_nodes[static_cast<std::size_t>(m_sent) % m_fleet.m_nodes.size()];
+            connections.push_back(
+                    m_fleet.send(node, {}, "a" + std::to_string(++m_sent), m_responses.back()));
+            m_fleet.runFor(interval);
+        }
+        m_fleet.runUntil([this] {
+            return std::all_of(m_responses.begin(), m_responses.end(),
+                               [](const auto &response) { return response.has_value(); });
+        });
+        for (const auto &connection : connections)
+            connection->close();
+    }
+
+    int served() const
+    {
+        return static_cast<int>(
+                std::count_if(m_responses.begin(), m_responses.end(), [](const auto &response) {
+                    return response && response->m_status == 200;
+                }));
+    }
+};
+
+/** @returns the most arrivals in a window that begins after the time. */
+int mostInWindow(const Backend &backend, TimePoint after)
+{
+    int most = 0;
+    for (const TimePoint begin : backend.m_arrivalTimes) {
+        if (begin < after)
+            continue;
+        most = std::max(most,
+                        static_cast<int>(std::count_if(
+                                backend.m_arrivalTimes.begin(), backend.m_arrivalTimes.end(),
+                                [begin](TimePoint time) {
+                                    return time >= begin && time < begin + Window;
+                                })));
+    }
+    return most;
+}
+
+int allowed(double limit)
+{
+    return static_cast<int>(limit * LimitFactor * std::chrono::duration<double>(Window).count())
+            + AdditionalRequests;
+}
+
+} // namespace
+
+// Guards against a backend server in need that gets its usual share of the requests.
+TEST_CASE("A backend server gets no more requests than the limit that it names")
+{
+    Fleet fleet;
+    REQUIRE(fleet.startTwo());
+    const double limit = GENERATE(0.0, 1.8, 6.0);
+    CAPTURE(limit);
+    Backend &limited = *fleet.m_nodes[0]->m_backend;
+    limited.m_faults.m_requestLimit = std::to_string(limit);
+    const TimePoint begin = std::chrono::steady_clock::now();
+    Load load{fleet};
+    load.run(25ms, 8s);
+    CHECK(mostInWindow(limited, begin + ContactBound) <= allowed(limit));
+    // The other server has room for all of them.
+    CHECK(load.served() == load.m_sent);
+}
+
+// Guards against requests that are refused below the limit.
+TEST_CASE("A backend server gets the requests that its limit allows")
+{
+    Fleet fleet;
+    fleet.addNode("n1", "slipdesk");
+    fleet.configure(1);
+    REQUIRE(fleet.settle());
+    REQUIRE(fleet.announce(*fleet.m_nodes[0]) == 200);
+    REQUIRE(fleet.runUntil([&fleet] { return fleet.m_nodes[0]->m_node->isReady(); }));
+    Backend &limited = *fleet.m_nodes[0]->m_backend;
+    limited.m_faults.m_requestLimit = "10";
+    Load load{fleet};
+    load.run(20ms, 6s);
+    const int most = mostInWindow(limited, limited.m_arrivalTimes.at(0) + 1s);
+    CHECK(most <= allowed(10));
+    constexpr int AllowedInWindow = 40;
+    CHECK(most >= AllowedInWindow * 9 / 10);
+    // Once the server names no limit, it gets all.
+    limited.m_faults.m_requestLimit.clear();
+    fleet.runFor(500ms);
+    load.run(20ms, 500ms);
+    Load later{fleet};
+    later.run(20ms, 1s);
+    CHECK(later.served() == later.m_sent);
+}
+
+// Guards against a limit that a faulty answer lifts or sets.
+TEST_CASE("A limit that cannot be read changes nothing")
+{
+    Fleet fleet;
+    REQUIRE(fleet.startTwo());
+    Backend &backend = *fleet.m_nodes[0]->m_backend;
+    for (const char *text : {"-1", "nan", "inf", "1e3", "4,5", "x"}) {
+        CAPTURE(text);
+        backend.m_faults.m_requestLimit = text;
+        Load load{fleet};
+        load.run(10ms, 300ms);
+        CHECK(load.served() == load.m_sent);
+    }
+    const std::string metrics = fleet.m_nodes[0]->m_node->metrics();
+    CHECK(metrics.find("\nchervilmount_unreadable_limits_total ") != std::string::npos);
+    CHECK(metrics.find("\nchervilmount_unreadable_limits_total 0") == std::string::npos);
+    CHECK(backend.m_arrivals > 40);
+}
+
+// Guards against work for a backend server that only says in its answers that it leaves.
+TEST_CASE("A backend server that leaves by its answers gets no more requests")
+{
+    Fleet fleet;
+    REQUIRE(fleet.startTwo());
+    Backend &leaving = *fleet.m_nodes[0]->m_backend;
+    leaving.m_faults.m_leaves = true;
+    Load load{fleet};
+    load.run(10ms, 300ms);
+    const int arrivals = leaving.m_arrivals;
+    REQUIRE(arrivals > 0);
+    // Its announcements of the same start do not bring it back.
+    CHECK(fleet.announce(*fleet.m_nodes[0]) == 200);
+    load.run(10ms, 500ms);
+    CHECK(leaving.m_arrivals == arrivals);
+    CHECK(load.served() == load.m_sent);
+    // The departure outlives the node's process.
+    fleet.kill(*fleet.m_nodes[0]);
+    fleet.restart(*fleet.m_nodes[0]);
+    REQUIRE(fleet.settle());
+    CHECK(fleet.announce(*fleet.m_nodes[0]) == 200);
+    load.run(10ms, 500ms);
+    CHECK(leaving.m_arrivals == arrivals);
+}
--- a/tests/platform/standin/backend.cpp
+++ b/tests/platform/standin/backend.cpp
@@ -52,6 +52,7 @@
         return;
     }
     ++m_arrivals;
+    m_arrivalTimes.push_back(std::chrono::steady_clock::now());
     if (m_faults.m_refuses || request["X-Chervilmount-Expected-Instance"] != m_id) {
         HttpResponse response = makeResponse(m_faults.m_refuses ? 503 : 421, "");
         response.set("X-Chervilmount-Not-Executed", "1");
@@ -130,5 +131,9 @@
     if (!m_faults.m_unsealed)
         response.set("X-Chervilmount-Server-Seal", "seal-" + m_id);
     response.set("X-Chervilmount-Server-Load", "0,0," + std::to_string(m_slots));
+    if (m_faults.m_leaves)
+        response.set("Server-Leaving", "1");
+    if (!m_faults.m_requestLimit.empty())
+        response.set("Server-Limit", m_faults.m_requestLimit);
     exchange->respond(std::move(response), false);
 }
--- a/tests/platform/standin/backend.h
+++ b/tests/platform/standin/backend.h
@@ -28,6 +28,10 @@
     bool m_wrongAttempt = false;
     /** Fails its status checks, as one does that is leaving. */
     bool m_failsStatusChecks = false;
+    /** States in its answers that it leaves. */
+    bool m_leaves = false;
+    /** Requests a second that it names in its answers as its limit; none if empty. */
+    std::string m_requestLimit;
     /** Continues to run after the deadline. */
     bool m_ignoresDeadline = true;
 };
@@ -78,6 +82,7 @@
     std::vector<BackendRun> m_runs;
     /** Requests received, including refused ones, without status checks. */
     int m_arrivals = 0;
+    std::vector<std::chrono::steady_clock::time_point> m_arrivalTimes;
     /** Runs whose caller disconnected before the response. */
     int m_abandoned = 0;
     int m_largestRunning = 0;
