Keep the limit on requests that a backend server names

A backend server in need names in its answers the requests a second that it takes. Nodes ignored it; in the users' incident a server with 1 a second got 23 requests in 4 s (11 allowed).

All requests to a backend server pass the node beside it, so a token bucket there keeps the limit for all entries together, for second attempts, nested calls and repeated sends as well. It saves up one request and half a second of the rate: at most 4.5 x rate + 1 in 4 s, where 6 x rate + 5 are allowed. What it holds back waits as for a slot, within a quarter of the target latency, or is refused as not run; the other nodes hear of the limit as capacity and use other servers first. The latest answer counts; one without a limit lifts it only if its request was sent after the last answer that named one. Values that cannot be read are ignored, counted and logged. A limit below 0.5 a second is used as 0.5, since only answers show that it has risen.

Ruled out: sharing the limit among the entries, which has to be agreed and breaks in a cut; a concurrency limit derived from it, which lets short runs through faster than the server said.

--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -36,6 +36,23 @@
     return std::max(Milliseconds{0}, std::chrono::floor<Milliseconds>(time - now));
 }
 
+/** @returns the value of the first of the fields that is present, or nothing. A field that is
+ * present with several values gives an empty text. */
+std::optional<std::string> uniqueValue(const HttpResponse &response,
+                                       const std::vector<std::string> &names)
+{
+    for (const std::string &name : names) {
+        const auto [first, last] = response.equal_range(name);
+        if (first == last)
+            continue;
+        const auto value = first->value();
+        const bool isUnique = std::all_of(
+                first, last, [&value](const auto &field) { return field.value() == value; });
+        return isUnique ? std::string(value) : std::string();
+    }
+    return std::nullopt;
+}
+
 /** @returns the third number of "running,waiting,slots", or 0. */
 int slotsOf(std::string_view load)
 {
@@ -70,6 +87,7 @@
         m_gate.m_holdSeconds = 0.0;
         m_relativeHold = {};
         m_completions.m_expected = m_completions.m_completed = 0.0;
+        m_gate.m_requestLimit = {};
     }
     m_pool.setAddress(instance.m_address);
     m_connectFailures = 0;
@@ -130,6 +148,8 @@
     m_runs.emplace(number, std::move(run));
     if (decision.m_verdict == traffic::GateVerdict::Start)
         start(number);
+    else
+        scheduleNextStart();
     return number;
 }
 
@@ -192,11 +212,15 @@
 traffic::TargetLoad LocalGate::load() const
 {
     traffic::TargetLoad load;
-    load.m_limit = m_usable ? traffic::gateLimit(m_gate) : 0;
+    const TimePoint now = std::chrono::steady_clock::now();
+    load.m_limit = m_usable ? traffic::gateCapacity(m_gate) : 0;
     load.m_running = m_gate.m_running;
+    // Other nodes use the other backend servers while this one takes no request.
+    if (traffic::timeOfRequests(m_gate.m_requestLimit, 1.0, now) > now)
+        load.m_running = std::max(load.m_running, load.m_limit);
     load.m_waiting = static_cast<int>(m_gate.m_queue.m_size);
     load.m_holdSeconds = m_gate.m_holdSeconds;
-    load.m_relativeHold = relativeHold(std::chrono::steady_clock::now());
+    load.m_relativeHold = relativeHold(now);
     return load;
 }
 
@@ -312,6 +336,7 @@
     if (!run.m_resent)
         traffic::recordFirstAttempt(m_resends, run.m_call.m_service, run.m_sentAt);
     run.m_sent = true;
+    run.m_instance = m_instance->m_id;
     run.m_connection = connection;
     HttpRequest request = backendRequest(run, run.m_sentAt);
     connection->exchange(
@@ -379,7 +404,8 @@
     // charged to a budget of its own, since the entry node does not see this retry.
     return run.m_call.m_idempotent && !run.m_resent
             && traffic::takeRepeat(m_resends, run.m_call.m_service, run.m_call.m_priority == 0, {},
-                                   std::chrono::steady_clock::now());
+                                   std::chrono::steady_clock::now())
+            && traffic::takeRequest(m_gate.m_requestLimit, std::chrono::steady_clock::now());
 }
 
 CallResult LocalGate::classifyResponse(const Run &run, HttpResponse response)
@@ -391,6 +417,7 @@
     if (fieldValue(response, names.m_attempt) != run.m_call.m_attempt || status < FirstFinalStatus
         || status > LastFinalStatus)
         return Failure{run.m_call.m_id, false, true, FailureReason::Broken, {}};
+    readServerState(run, response, sealed);
     if (response.result() == http::status::misdirected_request && !sealed) {
         if (m_onInstanceGone)
             m_onInstanceGone();
@@ -408,6 +435,65 @@
     return answer;
 }
 
+void LocalGate::readServerState(const Run &run, const HttpResponse &response, bool isSealed)
+{
+    // Only answers of the present backend server count, not those that an earlier one still gives.
+    const bool isRefusal = !fieldValue(response, m_settings.m_headers.m_notRun).empty();
+    if (!m_instance || run.m_instance != m_instance->m_id || (!isSealed && !isRefusal)
+        || response.result() == http::status::misdirected_request)
+        return;
+    readRequestLimit(run, response, isSealed);
+    if (uniqueValue(response, m_settings.m_headers.m_leaving) == "1" && m_onInstanceLeaving)
+        m_onInstanceLeaving();
+}
+
+void LocalGate::readRequestLimit(const Run &run, const HttpResponse &response, bool isSealed)
+{
+    traffic::RequestLimit &limit = m_gate.m_requestLimit;
+    const std::optional<std::string> text =
+            uniqueValue(response, m_settings.m_headers.m_requestLimit);
+    if (!text) {
+        // Refusals may be written before the backend server looks at its load.
+        if (isSealed && traffic::liftLimit(limit, run.m_sentAt))
+            logRequestLimit(run, "none");
+        return;
+    }
+    const std::optional<double> rate = traffic::parseRequestLimit(*text);
+    if (!rate) {
+        ++m_counters.m_unreadableLimits;
+        logRequestLimit(run, "unreadable: " + *text);
+        return;
+    }
+    const bool isChanged = limit.m_rate != rate;
+    traffic::nameLimit(limit, *rate, std::chrono::steady_clock::now());
+    if (isChanged)
+        logRequestLimit(run, *text);
+}
+
+void LocalGate::logRequestLimit(const Run &run, const std::string &limit)
+{
+    m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Info,
+                         {{"event", "request-limit"},
+                          {"instance", run.m_instance},
+                          {"request", run.m_call.m_attempt},
+                          {"limit", limit},
+                          {"running", std::to_string(m_gate.m_running)},
+                          {"waiting", std::to_string(m_gate.m_queue.m_size)}},
+                         std::chrono::steady_clock::now());
+}
+
+void LocalGate::scheduleNextStart()
+{
+    const std::optional<TimePoint> next =
+            traffic::nextStart(m_gate, std::chrono::steady_clock::now());
+    if (!next || m_nextStartTimer != 0)
+        return;
+    m_nextStartTimer = m_timers.add(*next, [this] {
+        m_nextStartTimer = 0;
+        startWaiting();
+    });
+}
+
 void LocalGate::refuseWaiting(std::uint64_t number, FailureReason reason)
 {
     const auto found = m_runs.find(number);
@@ -495,6 +581,7 @@
         else
             traffic::finishRun(m_gate, std::chrono::nanoseconds{0});
     }
+    scheduleNextStart();
 }
 
 void LocalGate::respond(Run &run, CallResult result)
--- a/packages/relay/inbound/localgate.h
+++ b/packages/relay/inbound/localgate.h
@@ -92,6 +92,8 @@
     /** Called when the backend server responds that it is not the expected instance, or when
      * connections to it fail in a row. */
     std::function<void()> m_onInstanceGone;
+    /** Called when an answer of the backend server states that it is leaving. */
+    std::function<void()> m_onInstanceLeaving;
     /** @returns the average time that a run of the route holds a slot, over all backend servers; 0
      * if unknown. */
     std::function<std::chrono::duration<double>(const std::string &route)> m_expectedHold;
@@ -107,6 +109,8 @@
         std::chrono::duration<double> m_expectedHold{0.0};
         /** When the request was last sent to the backend server. */
         TimePoint m_sentAt;
+        /** Backend server to which it was sent. */
+        std::string m_instance;
         /** Deadline that was sent to the backend server. */
         TimePoint m_forwardedDeadline;
         bool m_running = false;
@@ -127,6 +131,12 @@
     void exchangeEnded(std::uint64_t number, ExchangeResult result);
     bool mayResend(const Run &run);
     CallResult classifyResponse(const Run &run, HttpResponse response);
+    /** Takes over what an answer of the backend server states besides its result. */
+    void readServerState(const Run &run, const HttpResponse &response, bool isSealed);
+    void readRequestLimit(const Run &run, const HttpResponse &response, bool isSealed);
+    void logRequestLimit(const Run &run, const std::string &limit);
+    /** Starts waiting runs once the limit on requests permits it. */
+    void scheduleNextStart();
     void refuseWaiting(std::uint64_t number, FailureReason reason);
     void handleTimeout(std::uint64_t number);
     /** Removes the run, frees its slot and starts the next ones. */
@@ -157,6 +167,8 @@
     overload::NameTable m_organisations;
     std::optional<traffic::InstanceAnnouncement> m_instance;
     bool m_usable = false;
+    /** Timer of scheduleNextStart(); 0 if none is set. */
+    TimerId m_nextStartTimer = 0;
     /** Attempts to connect that have failed in a row. */
     int m_connectFailures = 0;
     std::uint64_t m_lastRun = 0;
--- a/packages/relay/runtime/relaysettings.h
+++ b/packages/relay/runtime/relaysettings.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstddef>
 #include <string>
+#include <vector>
 
 namespace chervilmount::relay {
 
@@ -39,6 +40,11 @@
     std::string m_notRun;
     /** "running,waiting,slots" of the backend server. */
     std::string m_load;
+    /** Requests a second that the backend server takes from all nodes together, for as long as its
+     * answers name it. It may come under any of these names. */
+    std::vector<std::string> m_requestLimit;
+    /** "1" in the answers of a backend server that is leaving. Several names as above. */
+    std::vector<std::string> m_leaving;
 };
 
 /** Settings of one node. */
--- a/packages/relay/telemetry/counters.cpp
+++ b/packages/relay/telemetry/counters.cpp
@@ -39,6 +39,9 @@
         static_cast<double>(counters.m_runs));
     add("counter", "chervilmount_runs_refused_total", "Runs refused before the backend server.",
         static_cast<double>(counters.m_runsRefused));
+    add("counter", "chervilmount_unreadable_limits_total",
+        "Answers whose limit on requests could not be read.",
+        static_cast<double>(counters.m_unreadableLimits));
     add("counter", "chervilmount_store_calls_total", "Calls to the platform's store.",
         static_cast<double>(counters.m_storeCalls));
     add("counter", "chervilmount_store_failures_total", "Failed calls to the platform's store.",
--- a/packages/relay/telemetry/counters.h
+++ b/packages/relay/telemetry/counters.h
@@ -47,6 +47,8 @@
     std::uint64_t m_secondAttempts = 0;
     std::uint64_t m_runs = 0;
     std::uint64_t m_runsRefused = 0;
+    /** Answers of the backend server whose limit on requests could not be read. */
+    std::uint64_t m_unreadableLimits = 0;
     std::uint64_t m_storeCalls = 0;
     std::uint64_t m_storeFailures = 0;
     std::uint64_t m_linksLost = 0;
--- a/packages/traffic/gate/gate.cpp
+++ b/packages/traffic/gate/gate.cpp
@@ -51,6 +51,15 @@
     return std::max(1, static_cast<int>(std::floor(gate.m_slots * gate.m_settings.m_usableShare)));
 }
 
+int gateCapacity(const Gate &gate)
+{
+    const int limit = gateLimit(gate);
+    if (!gate.m_requestLimit.m_rate || limit == 0 || gate.m_holdSeconds <= 0)
+        return limit;
+    const double runs = std::ceil(usedRate(*gate.m_requestLimit.m_rate) * gate.m_holdSeconds);
+    return runs >= limit ? limit : std::max(1, static_cast<int>(runs));
+}
+
 GateDecision arriveAtGate(Gate &gate, const ArrivingRun &run,
                           std::chrono::steady_clock::time_point now)
 {
@@ -58,7 +67,8 @@
     const int limit = gateLimit(gate);
     if (limit == 0 || run.m_deadline <= now)
         return decision;
-    if (gate.m_running < limit && gate.m_queue.m_size == 0) {
+    if (gate.m_running < limit && gate.m_queue.m_size == 0
+        && takeRequest(gate.m_requestLimit, now)) {
         ++gate.m_running;
         decision.m_verdict = GateVerdict::Start;
         return decision;
@@ -66,7 +76,11 @@
     const overload::Rank rank =
             overload::makeRank(gate.m_settings.m_ordersByImportance ? queueLevel(run) : 0, 0, {});
     const double ahead = overload::waitingBefore(gate.m_queue, rank) + 1.0;
-    decision.m_expectedWait = nanoseconds(ahead * gate.m_holdSeconds / limit);
+    const std::chrono::nanoseconds slotWait = gate.m_running < limit
+            ? std::chrono::nanoseconds{0}
+            : nanoseconds(ahead * gate.m_holdSeconds / limit);
+    decision.m_expectedWait =
+            std::max(slotWait, timeOfRequests(gate.m_requestLimit, ahead, now) - now);
     const std::chrono::nanoseconds allowed = maximumWait(gate, run, now);
     if (decision.m_expectedWait > allowed || gate.m_queue.m_size >= gate.m_settings.m_maximumQueued)
         return decision;
@@ -95,7 +109,8 @@
 
 std::optional<std::uint64_t> startNext(Gate &gate, std::chrono::steady_clock::time_point now)
 {
-    if (gate.m_running >= gateLimit(gate))
+    if (gate.m_running >= gateLimit(gate) || gate.m_queue.m_size == 0
+        || !takeRequest(gate.m_requestLimit, now))
         return std::nullopt;
     const std::optional<overload::QueuedCall> next = overload::dequeue(gate.m_queue, now);
     if (!next)
@@ -104,6 +119,15 @@
     return next->m_call;
 }
 
+std::optional<std::chrono::steady_clock::time_point>
+nextStart(const Gate &gate, std::chrono::steady_clock::time_point now)
+{
+    if (!gate.m_requestLimit.m_rate || gate.m_queue.m_size == 0
+        || gate.m_running >= gateLimit(gate))
+        return std::nullopt;
+    return timeOfRequests(gate.m_requestLimit, 1.0, now);
+}
+
 bool removeWaiting(Gate &gate, std::uint64_t run)
 {
     return overload::removeCall(gate.m_queue, run);
--- a/packages/traffic/gate/gate.h
+++ b/packages/traffic/gate/gate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "overload/admission/admissionqueue.h"
+#include "traffic/requestlimit/requestlimit.h"
 
 #include <chrono>
 #include <cstdint>
@@ -58,12 +59,18 @@
     int m_running = 0;
     /** Moving average of the time that a run holds a slot, in seconds; 0 until known. */
     double m_holdSeconds = 0.0;
+    /** Limit that the backend server has named. */
+    RequestLimit m_requestLimit;
     overload::AdmissionQueue m_queue;
 };
 
 /** @returns the maximum number of concurrent runs at the backend server. */
 int gateLimit(const Gate &gate);
 
+/** @returns the number of concurrent runs that the backend server can keep up, from its slots and
+ * the limit on requests that it has named. */
+int gateCapacity(const Gate &gate);
+
 /** Starts, queues or refuses a run. A started run holds a slot until finishRun(). */
 GateDecision arriveAtGate(Gate &gate, const ArrivingRun &run,
                           std::chrono::steady_clock::time_point now);
@@ -71,9 +78,14 @@
 /** Releases a slot. @param hold time for which the run held it; 0 leaves the average unchanged. */
 void finishRun(Gate &gate, std::chrono::nanoseconds hold);
 
-/** Dequeues the next waiting run if a slot is free; the run then holds the slot. */
+/** Dequeues the next waiting run if a slot is free and the limit on requests permits it; the run
+ * then holds the slot. */
 std::optional<std::uint64_t> startNext(Gate &gate, std::chrono::steady_clock::time_point now);
 
+/** @returns when a waiting run may start that is held back by the limit on requests only. */
+std::optional<std::chrono::steady_clock::time_point>
+nextStart(const Gate &gate, std::chrono::steady_clock::time_point now);
+
 /** Removes a run from the queue. @returns whether it was queued. */
 bool removeWaiting(Gate &gate, std::uint64_t run);
 
--- a/packages/traffic/traffic.h
+++ b/packages/traffic/traffic.h
@@ -19,6 +19,7 @@
 #include "traffic/placement/relativehold.h"
 #include "traffic/policy/policyindex.h"
 #include "traffic/profile/callprofile.h"
+#include "traffic/requestlimit/requestlimit.h"
 #include "traffic/retry/repeatbudget.h"
 #include "traffic/retry/secondattempt.h"
 #include "traffic/split/splitchooser.h"
