Take a backend server that leaves by its answers for departed

A backend server that leaves may say so in its answers only; it got its usual share of the requests until it ended. The first such answer now counts as its departure, by the same path as an announced one: the node stops new runs at once, refuses the queued ones as not run, and keeps the departure in its row and at other nodes. The answer itself does not wait for that.

The test failed before (48 more requests, also after the node was killed).

--- a/packages/relay/control/backendtracker.cpp
+++ b/packages/relay/control/backendtracker.cpp
@@ -72,6 +72,16 @@
         if (m_onChanged)
             m_onChanged();
     };
+    m_gate.m_onInstanceLeaving = [this] { handleLeavingAnswer(); };
+}
+
+void BackendTracker::handleLeavingAnswer()
+{
+    if (!m_instances.m_current || !m_instances.m_usable)
+        return;
+    handleDeparture({m_instances.m_current->m_id, m_instances.m_current->m_startedAt});
+    if (m_onDeparted)
+        m_onDeparted();
 }
 
 void BackendTracker::handle(const std::shared_ptr<ServerExchange> &exchange, HttpRequest request)
--- a/packages/relay/control/backendtracker.h
+++ b/packages/relay/control/backendtracker.h
@@ -65,6 +65,8 @@
 
     void handleAnnouncement(const traffic::InstanceAnnouncement &announcement);
     void handleDeparture(const DepartureNotice &notice);
+    /** Processes an answer of the backend server that states that it is leaving. */
+    void handleLeavingAnswer();
     void applyEffect(traffic::AnnouncementEffect effect, const std::string &id);
     void logAcknowledgement(const PendingDeparture &departure, bool isKept, TimePoint now);
 
