Move the soak beside the stand-ins of the platform

The check for names of the platform's wire found seven lines in tests/soak, which writes settings and policies in the platform's form; such names belong to tests/platform.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -51,8 +51,8 @@
 function(chervilmount_add_tests name)
     cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
     file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
-    # Stand-ins are built as separate libraries.
-    list(FILTER sources EXCLUDE REGEX "/standin/")
+    # Stand-ins and soaks are targets of their own.
+    list(FILTER sources EXCLUDE REGEX "/(standin|soak)/")
     add_executable(${name} ${sources})
     target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests ${CMAKE_SOURCE_DIR})
     target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} chervilmount_test_main
--- a/tests/soak/faultproxy.cpp
+++ b/tests/platform/soak/faultproxy.cpp
@@ -1,4 +1,4 @@
-#include "soak/faultproxy.h"
+#include "platform/soak/faultproxy.h"
 
 #include "relay/http/socketoptions.h"
 
--- a/tests/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -1,5 +1,5 @@
 #include "adapters/logging/decisionlog.h"
-#include "soak/policysoak.h"
+#include "platform/soak/policysoak.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/tests/soak/nodeprocess.cpp
+++ b/tests/platform/soak/nodeprocess.cpp
@@ -1,4 +1,4 @@
-#include "soak/nodeprocess.h"
+#include "platform/soak/nodeprocess.h"
 
 #include <csignal>
 #include <fcntl.h>
--- a/tests/soak/policysoak.cpp
+++ b/tests/platform/soak/policysoak.cpp
@@ -1,4 +1,4 @@
-#include "soak/policysoak.h"
+#include "platform/soak/policysoak.h"
 
 #include "relay/http/socketoptions.h"
 #include "support/freeaddress.h"
--- a/tests/soak/policysoak.h
+++ b/tests/platform/soak/policysoak.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "platform/soak/faultproxy.h"
+#include "platform/soak/nodeprocess.h"
+#include "platform/soak/versionwatch.h"
 #include "platform/standin/backend.h"
 #include "platform/standin/rowstore.h"
 #include "relay/http/httpclientconnection.h"
 #include "relay/timers/timerqueue.h"
-#include "soak/faultproxy.h"
-#include "soak/nodeprocess.h"
-#include "soak/versionwatch.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/tests/soak/versionwatch_test.cpp
+++ b/tests/platform/soak/versionwatch_test.cpp
@@ -1,4 +1,4 @@
-#include "soak/versionwatch.h"
+#include "platform/soak/versionwatch.h"
 
 #include <catch2/catch.hpp>
 
