Excuse processes of the soak that a busy machine keeps from running

Trace: the nodes concerned wrote no line for up to 5 s, before and after that 16 a second; two soaks that ran side by side have gaps of 5.2 s and 5.8 s in all logs at the same moment.

--- a/tests/platform/soak/nodeprocess.cpp
+++ b/tests/platform/soak/nodeprocess.cpp
@@ -1,7 +1,9 @@
 #include "platform/soak/nodeprocess.h"
 
 #include <csignal>
+#include <cstdint>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <system_error>
@@ -60,6 +62,15 @@
         ::kill(m_process, number);
 }
 
+std::chrono::nanoseconds NodeProcess::waitedForProcessor() const
+{
+    std::ifstream statistics("/proc/" + std::to_string(m_process) + "/schedstat");
+    std::int64_t ran = 0;
+    std::int64_t waited = 0;
+    statistics >> ran >> waited;
+    return std::chrono::nanoseconds(statistics ? waited : 0);
+}
+
 bool NodeProcess::isRunning()
 {
     if (m_process > 0 && ::waitpid(m_process, nullptr, WNOHANG) != 0)
--- a/tests/platform/soak/nodeprocess.h
+++ b/tests/platform/soak/nodeprocess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <sys/types.h>
 
@@ -25,6 +26,10 @@
     /** Sends a signal; ignored if the process has ended. */
     void signal(int number) const;
 
+    /** @returns how long its main thread has waited for a processor since its start; 0 if unknown.
+     */
+    std::chrono::nanoseconds waitedForProcessor() const;
+
     /** @returns whether the process runs, after collecting it if it has ended. */
     bool isRunning();
 
--- a/tests/platform/soak/policysoak.cpp
+++ b/tests/platform/soak/policysoak.cpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
+#include <utility>
 
 using namespace chervilmount::relay;
 namespace http = boost::beast::http;
@@ -21,6 +22,11 @@
 constexpr Milliseconds AnnouncementInterval{1000};
 constexpr Milliseconds CallInterval{60};
 constexpr Milliseconds CallTimeout{1500};
+/** Interval at which the processes are looked at, and the time without a processor from which one
+ * counts as slowed. @{ */
+constexpr Milliseconds LookInterval{50};
+constexpr Milliseconds SlowedTime{150};
+/** @} */
 constexpr Milliseconds RestartDelay{500};
 constexpr Milliseconds ReadinessLimit{20000};
 /** Versions increase in uneven steps. */
@@ -65,6 +71,8 @@
         node->m_storeProxy->m_faults.m_delay = m_settings.m_unexcusedDelay;
         callOften(*node);
     }
+    m_lastLook = m_startedAt;
+    watchProcessorTime();
     scheduleVersion(draw(200, 3000), 0);
     scheduleFault();
     runFor(m_settings.m_duration);
@@ -449,6 +457,28 @@
     return Milliseconds(std::uniform_int_distribution<int>(least, most)(m_random));
 }
 
+void PolicySoak::watchProcessorTime()
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    const std::chrono::nanoseconds since = now - std::exchange(m_lastLook, now);
+    if (since > LookInterval + SlowedTime) {
+        m_watch.m_storeDownUntil = std::max(m_watch.m_storeDownUntil, now);
+        fault("held up: this process for "
+              + std::to_string(std::chrono::floor<Milliseconds>(since).count()) + " ms");
+    }
+    for (const std::unique_ptr<SoakNode> &node : m_nodes) {
+        const std::chrono::nanoseconds waited = node->m_process->waitedForProcessor();
+        const std::chrono::nanoseconds before = std::exchange(node->m_waited, waited);
+        if (waited - before < SlowedTime)
+            continue;
+        node->m_watched.m_disturbedUntil = std::max(node->m_watched.m_disturbedUntil, now);
+        fault("held up: " + node->m_name + " waited "
+              + std::to_string(std::chrono::floor<Milliseconds>(waited - before).count())
+              + " ms for a processor");
+    }
+    after(LookInterval, [this] { watchProcessorTime(); });
+}
+
 void PolicySoak::runFor(Milliseconds duration)
 {
     m_context.restart();
--- a/tests/platform/soak/policysoak.h
+++ b/tests/platform/soak/policysoak.h
@@ -82,6 +82,8 @@
         /** The connection is being made, or a request on it is not answered yet. */
         bool m_isCalling = false;
         int m_announcements = 0;
+        /** Value of NodeProcess::waitedForProcessor() at the last look. */
+        std::chrono::nanoseconds m_waited{0};
         /** A fault of the process or its links is under way. */
         bool m_isHarmed = false;
     };
@@ -108,6 +110,9 @@
                      const chervilmount::relay::HttpResponse &response);
     void after(Milliseconds delay, std::function<void()> action);
     Milliseconds draw(int least, int most);
+    /** Excuses nodes that a busy machine has kept from running, and all of them if it has kept this
+     * process, which is their store, from it. */
+    void watchProcessorTime();
     void runFor(Milliseconds duration);
     void waitUntilReady();
     std::string clock() const;
@@ -124,5 +129,6 @@
     SoakReport m_report;
     TimePoint m_startedAt;
     std::uint64_t m_lastCall = 0;
+    TimePoint m_lastLook;
     bool m_isStoreHarmed = false;
 };
