--- a/tests/platform/soak/versionwatch.h
+++ b/tests/platform/soak/versionwatch.h
@@ -20,7 +20,7 @@
     std::chrono::milliseconds m_rollback{250};
 };
 
-/** The versions that operators have written, in order. */
+/** A version that operators have written. */
 struct WrittenVersion
 {
     std::uint64_t m_version = 0;
@@ -52,6 +52,7 @@
 struct VersionWatch
 {
     VersionBounds m_bounds;
+    /** In the order of the versions. */
     std::vector<WrittenVersion> m_written;
     /** When the last time ended in which the store was out of order for all nodes. */
     std::chrono::steady_clock::time_point m_storeDownUntil;
--- a/tests/platform/standin/rowstore.h
+++ b/tests/platform/standin/rowstore.h
@@ -56,12 +56,14 @@
     /** Discards the history of changes; feeds that need it get 410. */
     void compact();
 
+    /** Time before a loss of history in which changes are not reported. */
+    static constexpr std::chrono::seconds SilentTime{1};
+
     /**
      * Forgets its history as a store does that restarts: changes of the next SilentTime are not
      * reported, then the history is gone and all calls that wait for changes end; reads return the
      * rows of @p behind ago until that much time has passed.
      */
-    static constexpr std::chrono::seconds SilentTime{1};
     void forgetHistory(std::chrono::milliseconds behind);
 
     /** @returns the addresses of all listeners. */
--- a/tests/platform/stoprequests_test.cpp
+++ b/tests/platform/stoprequests_test.cpp
@@ -105,11 +105,10 @@
     for (const std::unique_ptr<FleetNode> &node : fleet.m_nodes)
         node->m_backend->m_faults.m_ignoresDeadline = false;
     // A run that lasts longer than the stop keeps the process up to its end.
-    stopping.m_backend->m_serviceTime = 9s;
+    stopping.m_backend->m_serviceTime = fleet.m_nodes[1]->m_backend->m_serviceTime = 9s;
     std::optional<CallerResponse> parent;
     CallerRequest request;
     request.m_deadline = 10s;
-    fleet.m_nodes[1]->m_backend->m_serviceTime = 9s;
     const auto connection = fleet.send(stopping, request, "parent", parent);
     fleet.runFor(200ms);
     const std::chrono::milliseconds serviceTime = GENERATE(20ms, 700ms);
@@ -134,7 +133,8 @@
             if (!caller.m_rest.empty() && std::chrono::steady_clock::now() >= caller.m_restAt)
                 caller.m_connection->send(std::exchange(caller.m_rest, ""));
         }
-        if (stopping.m_stopped && stopping.m_node) {
+        if (stopping.m_stopped) {
+            // What is still open ends with the process.
             fleet.kill(stopping);
             break;
         }
