Share the origin of a policy, and report unreadable rows in one place

Each request copied the source of the policy and two fields beside it, for a log line that is written for few of them: it now shares one record with the policy in force. The registry of nodes wrote the log line for an entry that cannot be read itself; it calls the store's handler, which writes the same one. Two comments had come to stand before the wrong function, and a variable of the soak was unused.

--- a/packages/relay/control/activepolicy.cpp
+++ b/packages/relay/control/activepolicy.cpp
@@ -31,8 +31,7 @@
     }
     const std::uint64_t before = m_document.m_version;
     m_document = document;
-    m_source = source;
-    m_appliedAt = now;
+    m_origin = std::make_shared<const PolicyOrigin>(PolicyOrigin{document.m_version, source, now});
     m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Info,
                          {{"event", "policy-in-force"},
                           {"version", std::to_string(document.m_version)},
--- a/packages/relay/control/activepolicy.h
+++ b/packages/relay/control/activepolicy.h
@@ -16,6 +16,15 @@
  * @throws model::FindingsError with all findings. */
 using PolicyParser = std::function<traffic::TrafficPolicy(const std::string &document)>;
 
+/** Where a version of the policy came from. */
+struct PolicyOrigin
+{
+    std::uint64_t m_version = 0;
+    /** The store, or the name of the node that has sent it. */
+    std::string m_source;
+    std::chrono::steady_clock::time_point m_appliedAt;
+};
+
 /** Holds the policy in force. Its version only increases, whichever source the documents come from.
  */
 class ActivePolicy
@@ -31,10 +40,8 @@
     const std::shared_ptr<const traffic::PolicyIndex> &current() const { return m_current; }
 
     const PolicyDocument &document() const { return m_document; }
-    /** @returns where the version in force comes from: the store, or the name of a node. */
-    const std::string &source() const { return m_source; }
-    /** @returns when the version in force was applied. */
-    std::chrono::steady_clock::time_point appliedAt() const { return m_appliedAt; }
+    /** @returns the origin of the version in force, or nullptr before the first one. */
+    const std::shared_ptr<const PolicyOrigin> &origin() const { return m_origin; }
     std::uint64_t version() const { return m_document.m_version; }
 
     /** Called after a version has come into force. */
@@ -45,8 +52,7 @@
     BoundedLog &m_log;
     std::shared_ptr<const traffic::PolicyIndex> m_current;
     PolicyDocument m_document;
-    std::string m_source;
-    std::chrono::steady_clock::time_point m_appliedAt;
+    std::shared_ptr<const PolicyOrigin> m_origin;
     /** Version that was rejected last; it is not parsed and logged again. */
     std::uint64_t m_rejected = 0;
 };
--- a/packages/relay/control/noderegistry.cpp
+++ b/packages/relay/control/noderegistry.cpp
@@ -153,13 +153,8 @@
 std::optional<NodeRow> NodeRegistry::readRow(const StoreRow &row)
 {
     std::optional<NodeRow> node = parseNodeRow(row);
-    if (!node)
-        m_log.writeIfAllowed(LogTopic::State, adapters::LogLevel::Warn,
-                             {{"event", "store-entry-unreadable"},
-                              {"table", NodeTable},
-                              {"key", row.m_key},
-                              {"problem", UnreadableNodeRow}},
-                             std::chrono::steady_clock::now());
+    if (!node && m_store.m_onUnreadableEntry)
+        m_store.m_onUnreadableEntry({NodeTable, row.m_key, UnreadableNodeRow});
     return node;
 }
 
--- a/packages/relay/control/noderegistry.h
+++ b/packages/relay/control/noderegistry.h
@@ -52,7 +52,7 @@
     bool mergeRow(const StoreRow &row);
     void read();
     void addPeer(const StoreRow &row);
-    /** @returns the row's content; logs a row that cannot be read. */
+    /** @returns the row's content; reports a row that cannot be read. */
     std::optional<NodeRow> readRow(const StoreRow &row);
     /** Repeats a failed call to the store. @param calledAt when the failed one was made. */
     void retry(std::chrono::steady_clock::time_point calledAt, const std::function<void()> &action);
--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -405,6 +405,7 @@
     for (const std::string &node : m_tried)
         nodes += (nodes.empty() ? "" : ",") + (node.empty() ? "local" : node);
     const std::chrono::duration<double, std::milli> took = now - m_entry.m_arrivedAt;
+    const PolicyOrigin policy = m_entry.m_policyOrigin ? *m_entry.m_policyOrigin : PolicyOrigin{};
     m_services.m_log.write(topic, adapters::LogLevel::Info,
                            {{"event", "request"},
                             {"request", m_entry.m_attempt},
@@ -421,9 +422,9 @@
                             {"nodes", nodes},
                             {"arrivals", std::to_string(m_arrivals)},
                             {"took_ms", std::to_string(took.count())},
-                            {"policy", std::to_string(m_entry.m_policyVersion)},
-                            {"policy_source", m_entry.m_policySource},
-                            {"policy_age_ms", formatAge(m_entry.m_policyAppliedAt, now)},
+                            {"policy", std::to_string(policy.m_version)},
+                            {"policy_source", policy.m_source},
+                            {"policy_age_ms", formatAge(policy.m_appliedAt, now)},
                             {"store_age_ms", formatAge(m_entry.m_storeHeardAt, now)}});
 }
 
--- a/packages/relay/entry/entrycall.h
+++ b/packages/relay/entry/entrycall.h
@@ -17,12 +17,9 @@
     std::chrono::steady_clock::time_point m_arrivedAt;
     std::chrono::steady_clock::time_point m_deadline;
     std::shared_ptr<const traffic::PolicyIndex> m_policy;
-    /** Version of m_policy; 0 if there is none. */
-    std::uint64_t m_policyVersion = 0;
-    /** Where that version came from, when it was applied, and when the store last answered this
-     * node about the policy; for the log. @{ */
-    std::string m_policySource;
-    std::chrono::steady_clock::time_point m_policyAppliedAt;
+    /** Origin of m_policy, and when the store last answered this node about the policy; for the
+     * log. @{ */
+    std::shared_ptr<const PolicyOrigin> m_policyOrigin;
     std::chrono::steady_clock::time_point m_storeHeardAt;
     /** @} */
     /** Owned by m_policy. */
--- a/packages/relay/entry/entryhandler.cpp
+++ b/packages/relay/entry/entryhandler.cpp
@@ -38,9 +38,7 @@
     entry.m_arrivedAt = exchange->receivedAt();
     entry.m_attempt = fieldValue(entry.m_request, m_services.m_settings.m_headers.m_attempt);
     entry.m_policy = m_services.m_policy.current();
-    entry.m_policyVersion = m_services.m_policy.version();
-    entry.m_policySource = m_services.m_policy.source();
-    entry.m_policyAppliedAt = m_services.m_policy.appliedAt();
+    entry.m_policyOrigin = m_services.m_policy.origin();
     entry.m_storeHeardAt = m_services.m_store.m_policyHeardAt;
     if (!entry.m_policy) {
         if (waitForStart(exchange, entry.m_request, now))
--- a/packages/relay/entry/entryhandler.h
+++ b/packages/relay/entry/entryhandler.h
@@ -42,11 +42,11 @@
     void refuse(const std::shared_ptr<ServerExchange> &exchange, EntryRequest request,
                 Outcome outcome, int status, const std::string &reason,
                 std::chrono::milliseconds retryAfter);
-    /** Makes a request wait until the node knows enough to decide about it.
-     * @returns false if it is to be refused; the request is unchanged then. */
     /** @returns whether a backend server of the route is known, or will not become known by the
      * start of this node. */
     bool hasBackendServer(const traffic::RoutePolicy &route, TimePoint now) const;
+    /** Makes a request wait until the node knows enough to decide about it.
+     * @returns false if it is to be refused; the request is unchanged then. */
     bool waitForStart(const std::shared_ptr<ServerExchange> &exchange, HttpRequest &request,
                       TimePoint now);
     std::optional<std::chrono::milliseconds> patienceOf(const HttpRequest &request) const;
--- a/tests/platform/soak/policysoak.cpp
+++ b/tests/platform/soak/policysoak.cpp
@@ -200,7 +200,6 @@
         m_watch.m_storeDownUntil = end;
     else
         m_watch.m_storePartialUntil = end;
-    std::vector<std::string> turnedAway;
     if (kind == 0) {
         m_store.m_faults.m_silent = true;
         m_store.dropPendingCalls();
