Show that a restarted node forgets the limit of its server

The limit that a backend server names is kept only in the process beside it; after one kill of that process the server gets as many requests as it has slots.

--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -566,6 +566,15 @@
         return m_runs;
     }
 
+    /** Requests that reached it, whether it ran them or not; those for another server are left out. */
+    std::vector<Run> arrivals()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_arrivals;
+    }
+
+    /** Requests a second that it names as its limit in its answers; 0 for none. */
+    std::atomic<int> m_requestLimit = 0;
     std::atomic<int> m_workMilliseconds = 60;
     /** Share of the requests that it runs and whose answers are lost: the caller gets nothing on that connection. */
     std::atomic<double> m_lostShare = 0.0;
@@ -604,6 +613,10 @@
         const std::vector<std::pair<std::string, std::string>> echo{{"X-Chervilmount-Attempt-Id", attempt}};
         if (request.field("X-Chervilmount-Expected-Instance") != m_id)
             return stream.write(response(421, echo, ""));
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_arrivals.push_back({attempt, request.field("X-Chervilmount-Tenant"), m_id, "", Clock::now()});
+        }
         if (m_running >= m_slots) {
             std::vector<std::pair<std::string, std::string>> fields = echo;
             fields.emplace_back("X-Chervilmount-Not-Executed", "1");
@@ -638,11 +651,12 @@
             return false;
         }
         const bool isLate = end == deadline;
-        return stream.write(response(isLate ? 504 : 200,
-                                     {{"X-Chervilmount-Attempt-Id", attempt},
-                                      {"X-Chervilmount-Server-Seal", "seal-" + attempt},
-                                      {"X-Chervilmount-Server-Load", loadText()}},
-                                     "body of " + attempt));
+        std::vector<std::pair<std::string, std::string>> fields{{"X-Chervilmount-Attempt-Id", attempt},
+                                                                {"X-Chervilmount-Server-Seal", "seal-" + attempt},
+                                                                {"X-Chervilmount-Server-Load", loadText()}};
+        if (m_requestLimit > 0)
+            fields.emplace_back("Server-Limit", std::to_string(m_requestLimit));
+        return stream.write(response(isLate ? 504 : 200, fields, "body of " + attempt));
     }
 
     std::string m_id, m_service, m_zone, m_address, m_control;
@@ -652,6 +666,7 @@
     std::atomic<int> m_running = 0;
     std::mutex m_mutex;
     std::vector<Run> m_runs;
+    std::vector<Run> m_arrivals;
     double m_lost = 0.0;
     Server m_server;
 };
@@ -813,6 +828,7 @@
 {
     int m_status = 0;
     std::string m_seal;
+    std::string m_requestLimit;
     std::string m_body;
     Clock::time_point m_at;
 };
@@ -843,6 +859,7 @@
         && stream->read(answer, Clock::now() + Milliseconds{deadlineMilliseconds})) {
         outcome.m_status = std::stoi(answer.m_second);
         outcome.m_seal = answer.field("X-Chervilmount-Server-Seal");
+        outcome.m_requestLimit = answer.field("Server-Limit");
         outcome.m_body = answer.m_body;
     }
     outcome.m_at = Clock::now();
