Break off answers without a length that a reset cuts

Callers saw: a 200 with the first part of a body as a complete answer, after a backend server answered a long upload at once and without a length and reset the connection while the upload was still being written.

Cause: a socket reports a reset once. The write under way received it, and the read that followed found a plain end of file, which HttpClientConnection took for the end of the body.

Change: a write that fails marks the connection as reset, and an answer without a length that ends on such a connection is broken (502, may have run). While a write is pending, its queued completion comes before the decision. EPIPE does not count: Linux reports it, rather than ECONNRESET, if the server's bytes had ended in order before the reset, so that an early answer of a sound server still arrives whole.

Ruled out: taking no answer without a length while the request is being written, which would drop whole answers of sound servers; TCP_INFO, which tells a reset but not whether the end had come before it.

--- a/packages/relay/http/httpclientconnection.cpp
+++ b/packages/relay/http/httpclientconnection.cpp
@@ -3,6 +3,7 @@
 #include "relay/http/chunkline.h"
 #include "relay/http/socketoptions.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -84,9 +85,10 @@
             m_socket, m_request,
             [self = shared_from_this()](boost::system::error_code error, std::size_t /*bytes*/) {
                 self->m_writing = false;
-                // The response may still arrive after a failed write; reading decides.
-                if (error && !self->m_closed && !self->m_reading)
-                    self->finish({});
+                // The response may still arrive after a failed write; reading decides. A broken
+                // pipe says that the server had ended its bytes in order before the connection
+                // failed.
+                self->m_wasReset = error && error != boost::asio::error::broken_pipe;
             });
     read();
 }
@@ -127,15 +129,9 @@
         close();
         return;
     }
-    if (error == boost::asio::error::eof && m_parser->got_some()) {
-        // A response without length ends with the connection, provided that it was not reset.
-        boost::system::error_code parseError;
-        m_parser->put_eof(parseError);
-        m_keepAlive = false;
-        if (!parseError && m_parser->is_done() && m_parser->is_header_done()) {
-            completeResponse();
-            return;
-        }
+    if (error == boost::asio::error::eof) {
+        endOfInput();
+        return;
     }
     if (error) {
         finish({ExchangeStatus::Broken, m_receivedBytes, {}, {}});
@@ -146,6 +142,37 @@
     parse();
 }
 
+void HttpClientConnection::endOfInput()
+{
+    m_keepAlive = false;
+    if (!m_writing) {
+        completeAtEnd();
+        return;
+    }
+    // A socket reports a reset once: if the write has received it, the read finds a plain end, and
+    // the completion of the write may still be queued.
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (!self->m_closed)
+            self->completeAtEnd();
+    });
+}
+
+void HttpClientConnection::completeAtEnd()
+{
+    boost::system::error_code error = http::error::partial_message;
+    if (m_parser->got_some())
+        m_parser->put_eof(error);
+    if (error || !m_parser->is_done()) {
+        finish({ExchangeStatus::Broken, m_receivedBytes, {}, {}});
+        return;
+    }
+    // A response without a length ends with the connection, provided that it was not reset.
+    if (m_wasReset)
+        broken("the connection was reset within a response without a length");
+    else
+        completeResponse();
+}
+
 void HttpClientConnection::parse()
 {
     boost::system::error_code error;
--- a/packages/relay/http/httpclientconnection.h
+++ b/packages/relay/http/httpclientconnection.h
@@ -78,6 +78,8 @@
 private:
     void read();
     void received(boost::system::error_code error, std::size_t bytes);
+    void endOfInput();
+    void completeAtEnd();
     void parse();
     void startResponse();
     void completeResponse();
@@ -105,6 +107,8 @@
     bool m_reading = false;
     bool m_writing = false;
     bool m_receivedBytes = false;
+    /** A write has found the connection failed before the end of the server's bytes. */
+    bool m_wasReset = false;
     bool m_keepAlive = true;
     bool m_closed = false;
 };
--- /dev/null
+++ b/tests/platform/brokenanswers_test.cpp
@@ -0,0 +1,122 @@
+#include "platform/standin/fleet.h"
+#include "platform/standin/scriptedbackend.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** More than the system takes at once, so that the request is still being written. */
+constexpr std::size_t UploadBytes = 24UL * 1024 * 1024;
+
+/** Two nodes, the second with a backend server of the callers' service whose bytes a test writes.
+ */
+struct BrokenAnswerCase
+{
+    Fleet m_fleet;
+    std::unique_ptr<ScriptedBackend> m_backend;
+
+    BrokenAnswerCase()
+    {
+        FleetNode &entry = m_fleet.addNode("n1", "printhall");
+        FleetNode &beside = m_fleet.addNode("n2", "slipdesk");
+        beside.m_backend->crash();
+        m_backend = std::make_unique<ScriptedBackend>(
+                m_fleet.m_context, beside.m_backend->address(), beside.m_backend->id());
+        m_fleet.configure(1, "", 2 * UploadBytes);
+        m_fleet.announce(entry);
+        REQUIRE(m_fleet.settle());
+        REQUIRE(m_fleet.runUntil([this, &beside] {
+            m_backend->serve();
+            return m_fleet.announce(beside) == 200;
+        }));
+    }
+
+    /** @returns all that a caller receives until the limit or the end of its connection. */
+    std::string call(FleetNode &node, const std::string &method, const std::string &target,
+                     const std::string &attempt, const std::string &body = "")
+    {
+        RawCaller caller(m_fleet.m_context, node.m_settings.m_relay.m_callerAddress);
+        const std::string request = method + " " + target + " HTTP/1.1\r\nHost: slips.example\r\n"
+                + (attempt.empty() ? "" : "X-Chervilmount-Attempt-Id: " + attempt + "\r\n")
+                + "X-Chervilmount-Deadline-Ms: 1000\r\nX-Chervilmount-Key: key-large\r\n"
+                + "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+                + body;
+        std::size_t sent = 0;
+        REQUIRE(m_fleet.runUntil([&] {
+            // The node runs in this thread, so a blocking send would wait for ever.
+            if (sent < request.size())
+                sent += caller.trySend(std::string_view(request).substr(sent));
+            m_backend->serve();
+            return caller.m_closed;
+        }));
+        return caller.m_received;
+    }
+
+    /** Entry node and node beside the backend server: the answer crosses a link, or does not. */
+    FleetNode &node(bool beside) { return *m_fleet.m_nodes[beside ? 1 : 0]; }
+};
+
+/** @returns an answer's status line and its fields behind the identifier. */
+std::string headOf(const std::string &status, const std::string &attempt)
+{
+    return "HTTP/1.1 " + status + " Reason\r\n"
+            + (attempt.empty() ? "" : "X-Chervilmount-Attempt-Id: " + attempt + "\r\n");
+}
+
+const std::string Seal = "X-Chervilmount-Server-Seal: seal\r\n";
+
+/** @returns whether the caller got a failure of the node, and nothing of the backend server. */
+bool isFailureOfNode(const std::string &received)
+{
+    return received.starts_with("HTTP/1.1 50") && received.find("Seal") == std::string::npos
+            && received.find("secret") == std::string::npos;
+}
+
+} // namespace
+
+// Guards against a stand-in that fails every answer: a sound one reaches callers as it is.
+TEST_CASE("A sound answer of a scripted backend server arrives")
+{
+    BrokenAnswerCase test;
+    const std::string framing =
+            GENERATE(as<std::string>(), "Content-Length: 6\r\n\r\nsecret",
+                     "Transfer-Encoding: chunked\r\n\r\n6\r\nsecret\r\n0\r\n\r\n", "\r\nsecret");
+    const bool beside = GENERATE(false, true);
+    test.m_backend->m_script = [&framing](RawCaller &connection, const std::string &attempt) {
+        connection.send(headOf("200", attempt) + Seal + framing);
+        connection.endOutput();
+    };
+    const std::string received = test.call(test.node(beside), "GET", "/slips/1", "a1");
+    CHECK(received.starts_with("HTTP/1.1 200 "));
+    CHECK(received.find("seal") != std::string::npos);
+    CHECK(received.ends_with("\r\n\r\nsecret"));
+}
+
+// Guards against part of a body that callers get as a complete answer: the backend server answers a
+// long upload at once and without a length, and resets the connection while the upload is written.
+TEST_CASE("Callers get no success for an answer to an upload that a reset cuts")
+{
+    BrokenAnswerCase test;
+    const bool beside = GENERATE(false, true);
+    const bool idempotent = GENERATE(false, true);
+    CAPTURE(beside, idempotent);
+    test.m_backend->m_script = [&test](RawCaller &connection, const std::string &attempt) {
+        connection.stopReading();
+        connection.send(headOf("200", attempt) + Seal + "\r\nsecret, the first part");
+        test.m_fleet.runFor(20ms);
+        connection.reset();
+    };
+    const std::string received =
+            test.call(test.node(beside), "POST", idempotent ? "/slips/1" : "/orders/1", "a1",
+                      std::string(UploadBytes, 'x'));
+    CHECK(isFailureOfNode(received));
+    CHECK(received.starts_with("HTTP/1.1 502 "));
+    if (!idempotent)
+        CHECK(test.m_backend->m_arrivals == 1);
+}
--- a/tests/platform/standin/fleet.cpp
+++ b/tests/platform/standin/fleet.cpp
@@ -77,7 +77,7 @@
     return exchange(node.m_settings.m_relay.m_announcementAddress, std::move(request));
 }
 
-void Fleet::configure(int version, const std::string &routes)
+void Fleet::configure(int version, const std::string &routes, std::size_t bodyBytes)
 {
     const std::string rows = routes.empty()
             ? R"(["slip-lookup","slips.example","/slips/","idempotent",1.2,1.0,2,null,2,false,"slipdesk"],
@@ -92,7 +92,8 @@
                         + rows
                         + R"(]},"services":{"columns":["name","health_path","max_connections"],
                           "rows":[["slipdesk","/health",100],["printhall","/health",100]]},
-                          "limits":{"max_header_bytes":4096,"max_body_bytes":100000,
+                          "limits":{"max_header_bytes":4096,"max_body_bytes":)"
+                        + std::to_string(bodyBytes) + R"(,
                           "header_timeout_s":1,"idle_timeout_s":5},
                           "tenants":{"columns":["name","api_keys","priority","rate_per_s","burst"],
                           "rows":[["large",["key-large"],null,0,0],
--- a/tests/platform/standin/fleet.h
+++ b/tests/platform/standin/fleet.h
@@ -71,8 +71,9 @@
     int tell(FleetNode &node, const std::string &method, const std::string &id,
              const std::string &body);
 
-    /** Writes a version of the operators' configuration to the store. */
-    void configure(int version, const std::string &routes = "");
+    /** Writes a version of the operators' configuration to the store.
+     * @param bodyBytes longest request body of callers. */
+    void configure(int version, const std::string &routes = "", std::size_t bodyBytes = 100000);
 
     /** Runs the event loop until the condition holds. @returns whether it did in time. */
     bool runUntil(const std::function<bool()> &condition,
--- /dev/null
+++ b/tests/relay/brokenanswers_test.cpp
@@ -0,0 +1,112 @@
+#include "relay/clientcase.h"
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace chervilmount::relay;
+using namespace std::chrono_literals;
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/** More than the system takes at once, so that the request is still being written. */
+constexpr std::size_t UploadBytes = 20UL * 1024 * 1024;
+/** Time in which bytes on loopback have arrived. */
+constexpr std::chrono::milliseconds ArrivalTime{20};
+
+const std::string HeadWithoutLength = "HTTP/1.1 200 OK\r\nId: b\r\nSeal: s\r\n\r\n";
+
+/** Begins an upload at a server that does not read it. @param kept the connection was used before.
+ */
+void beginUpload(ClientCase &test, bool kept)
+{
+    if (kept) {
+        test.request("a");
+        test.m_server->send("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+        test.awaitResult();
+        REQUIRE(test.m_client->isReusable(std::chrono::steady_clock::now()));
+    }
+    test.m_server->stopReading();
+    test.request("b", std::string(UploadBytes, 'x'), http::verb::post);
+    runUntil(
+            test.m_context, [] { return false; }, ArrivalTime);
+}
+
+} // namespace
+
+// Guards against part of a body that callers get as whole: a backend server answered an upload at
+// once and without a length, and reset the connection. The write that was under way received the
+// reset, and the read that followed found a plain end.
+TEST_CASE("An answer without a length that a reset cuts beside an upload is broken")
+{
+    const bool kept = GENERATE(false, true);
+    const bool partIsReadFirst = GENERATE(false, true);
+    CAPTURE(kept, partIsReadFirst);
+    ClientCase test;
+    beginUpload(test, kept);
+    test.m_server->send(HeadWithoutLength + "part of the body");
+    if (partIsReadFirst)
+        runUntil(
+                test.m_context, [] { return false; }, ArrivalTime);
+    test.m_server->reset();
+    test.awaitResult();
+    CHECK(test.m_result->m_status == ExchangeStatus::Broken);
+    CHECK(test.m_client->isClosed());
+}
+
+// Guards against the same where the request has been written whole: only the read meets the reset.
+TEST_CASE("An answer without a length that a reset cuts is broken")
+{
+    ClientCase test;
+    test.request("b");
+    test.awaitRequest();
+    test.m_server->send(HeadWithoutLength + "part of the body");
+    if (GENERATE(false, true))
+        runUntil(
+                test.m_context, [] { return false; }, ArrivalTime);
+    test.m_server->reset();
+    test.awaitResult();
+    CHECK(test.m_result->m_status == ExchangeStatus::Broken);
+}
+
+// Guards against a whole answer that is dropped: a sound backend server may answer an upload early
+// and without a length. The end of its bytes arrives in order, before any reset.
+TEST_CASE("An early answer without a length arrives whole")
+{
+    enum class After { Waits, Reads, Closes };
+    const After after = GENERATE(After::Waits, After::Reads, After::Closes);
+    const bool kept = GENERATE(false, true);
+    CAPTURE(static_cast<int>(after), kept);
+    ClientCase test;
+    beginUpload(test, kept);
+    test.m_server->send(HeadWithoutLength + "whole body");
+    test.m_server->endOutput();
+    if (after == After::Reads)
+        test.m_server->resumeReading();
+    // The rest of the upload is unread, so closing resets the connection behind the end.
+    if (after == After::Closes)
+        test.m_server->close();
+    test.awaitResult();
+    REQUIRE(test.m_result->m_status == ExchangeStatus::Answered);
+    CHECK(test.m_result->m_response.body() == "whole body");
+    CHECK(test.m_client->isClosed());
+}
+
+// Guards against the same for an answer that has a length: a reset behind its last byte cuts
+// nothing.
+TEST_CASE("An early answer with a length is whole although a reset follows")
+{
+    const std::string framing =
+            GENERATE(as<std::string>(), "Content-Length: 10\r\n\r\nwhole body",
+                     "Transfer-Encoding: chunked\r\n\r\na\r\nwhole body\r\n0\r\n\r\n");
+    ClientCase test;
+    beginUpload(test, false);
+    test.m_server->send("HTTP/1.1 200 OK\r\nId: b\r\n" + framing);
+    test.m_server->reset();
+    test.awaitResult();
+    REQUIRE(test.m_result->m_status == ExchangeStatus::Answered);
+    CHECK(test.m_result->m_response.body() == "whole body");
+}
--- a/tests/relay/httpclient_test.cpp
+++ b/tests/relay/httpclient_test.cpp
@@ -1,81 +1,10 @@
-#include "relay/http/httpclientconnection.h"
-#include "relay/rawcaller.h"
-#include "support/freeaddress.h"
-
-#include <catch2/catch.hpp>
-
-#include <memory>
-#include <optional>
+#include "relay/clientcase.h"
 
 using namespace chervilmount::relay;
 using namespace std::chrono_literals;
 
 namespace {
 
-/** A connection to a server whose bytes the test writes. */
-struct ClientCase
-{
-    boost::asio::io_context m_context;
-    std::string m_address = freeAddress(m_context);
-    boost::asio::ip::tcp::acceptor m_acceptor{m_context, parseEndpoint(m_address)};
-    std::shared_ptr<BodyBudget> m_bodies = std::make_shared<BodyBudget>(BodyBudget{100000, 0});
-    std::shared_ptr<HttpClientConnection> m_client =
-            std::make_shared<HttpClientConnection>(m_context, "Id", 1000000, m_bodies);
-    std::unique_ptr<RawCaller> m_server;
-    std::optional<ExchangeResult> m_result;
-
-    ClientCase()
-    {
-        bool connected = false;
-        m_acceptor.async_accept(
-                [this](boost::system::error_code, boost::asio::ip::tcp::socket socket) {
-                    m_server = std::make_unique<RawCaller>(std::move(socket));
-                });
-        m_client->connect(parseEndpoint(m_address), [&connected](bool) { connected = true; });
-        REQUIRE(runUntil(m_context, [&] { return connected && m_server; }));
-    }
-
-    ~ClientCase() { m_client->close(); }
-
-    void request(const std::string &id, const std::string &body = "")
-    {
-        HttpRequest request;
-        request.version(11);
-        request.method(boost::beast::http::verb::get);
-        request.target("/" + id);
-        request.body() = body;
-        request.prepare_payload();
-        m_result.reset();
-        m_client->exchange(std::move(request), id,
-                           [this](ExchangeResult result) { m_result = std::move(result); });
-    }
-
-    /** Reads the request: a server that closes before resets the connection. */
-    void awaitRequest()
-    {
-        REQUIRE(runUntil(m_context,
-                         [this] { return countOf(m_server->m_received, "\r\n\r\n") > 0; }));
-    }
-
-    void awaitResult()
-    {
-        REQUIRE(runUntil(m_context, [this] { return m_result.has_value(); }));
-    }
-
-    /** Sends a beginning, then the same bytes until the client closes. @returns whether it did. */
-    bool sendsUntilClosed(const std::string &start, const std::string &bytes)
-    {
-        m_server->send(start);
-        std::string many;
-        while (many.size() < 2000)
-            many += bytes;
-        return runUntil(m_context, [&] {
-            m_server->trySend(many);
-            return m_server->m_closed || m_server->m_sendFailed;
-        });
-    }
-};
-
 std::string response(const std::string &id, const std::string &body)
 {
     return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size())
--- a/tests/relay/rawcaller.h
+++ b/tests/relay/rawcaller.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <string_view>
 
 /** Runs the event loop until the condition holds. @returns whether it did in time. */
 inline bool runUntil(boost::asio::io_context &context, const std::function<bool()> &condition,
@@ -66,13 +67,14 @@
         m_sendFailed = m_sendFailed || error;
     }
 
-    /** Sends as many of the bytes as the system takes at once. */
-    void trySend(const std::string &bytes)
+    /** Sends as many of the bytes as the system takes at once. @returns how many it took. */
+    std::size_t trySend(std::string_view bytes)
     {
         m_socket.non_blocking(true);
         boost::system::error_code error;
-        m_socket.write_some(boost::asio::buffer(bytes), error);
+        const std::size_t taken = m_socket.write_some(boost::asio::buffer(bytes), error);
         m_sendFailed = m_sendFailed || (error && error != boost::asio::error::would_block);
+        return taken;
     }
 
     /** What arrives stays with the system until resumeReading(). */
@@ -86,6 +88,21 @@
         m_socket.close(ignored);
     }
 
+    /** Ends this end's bytes in order; the connection stays open. */
+    void endOutput()
+    {
+        boost::system::error_code ignored;
+        m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
+    /** Resets the connection. */
+    void reset()
+    {
+        boost::system::error_code ignored;
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        m_socket.close(ignored);
+    }
+
     /** All that has arrived. */
     std::string m_received;
     /** The other end has closed the connection. */
