Break off answers with a folded or malformed line in the head

Callers saw: an answer in whose head a line began with a blank; the line was joined to the field before it and passed on. If it was the length, the body ended with the connection instead.

Cause: Beast's parser accepts obsolete line folding (RFC 9112, 5.2), in which a blank at the start of a line continues the field before it. Blanks, control bytes and other characters within a name, a missing colon, an empty name, control bytes in values and bare CR or LF are rejected by the parser itself.

Change: the lines of a head are checked before the parser gets them. A check of what the parser has taken would find the folds joined already.

--- a/packages/adapters/adapters.h
+++ b/packages/adapters/adapters.h
@@ -10,6 +10,7 @@
 
 #include "adapters/http/httpconnection.h"
 #include "adapters/http/httplistener.h"
+#include "adapters/http/responsehead.h"
 #include "adapters/logging/decisionlog.h"
 #include "adapters/metrics/metrics.h"
 #include "adapters/peerlink/peertransport.h"
--- /dev/null
+++ b/packages/adapters/http/responsehead.cpp
@@ -0,0 +1,58 @@
+#include "adapters/http/responsehead.h"
+
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+
+namespace chervilmount::adapters {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::string_view LineEnd = "\r\n";
+bool isTokenCharacter(char character)
+{
+    constexpr std::string_view Symbols = "!#$%&'*+-.^_`|~";
+    return (character >= '0' && character <= '9') || (character >= 'A' && character <= 'Z')
+            || (character >= 'a' && character <= 'z')
+            || Symbols.find(character) != std::string_view::npos;
+}
+
+bool isControl(char character)
+{
+    const unsigned char value = static_cast<unsigned char>(character);
+    return (value < ' ' && character != '\t') || value == '\x7f';
+}
+
+boost::system::error_code checkLine(std::string_view line)
+{
+    const std::string_view name = line.substr(0, line.find(':'));
+    if (name.empty() || name.size() == line.size()
+        || !std::all_of(name.begin(), name.end(), isTokenCharacter))
+        return http::error::bad_field;
+    const std::string_view value = line.substr(name.size() + 1);
+    if (std::any_of(value.begin(), value.end(), isControl))
+        return http::error::bad_value;
+    return {};
+}
+
+} // namespace
+
+boost::system::error_code checkHeaderLines(std::string_view bytes)
+{
+    if (bytes.starts_with("HTTP/")) {
+        const std::size_t end = bytes.find(LineEnd);
+        bytes.remove_prefix(end == std::string_view::npos ? bytes.size() : end + LineEnd.size());
+    }
+    for (;;) {
+        const std::size_t end = bytes.find(LineEnd);
+        if (end == std::string_view::npos || end == 0)
+            return {};
+        if (const boost::system::error_code error = checkLine(bytes.substr(0, end)))
+            return error;
+        bytes.remove_prefix(end + LineEnd.size());
+    }
+}
+
+} // namespace chervilmount::adapters
--- a/packages/relay/http/httpclientconnection.cpp
+++ b/packages/relay/http/httpclientconnection.cpp
@@ -1,5 +1,6 @@
 #include "relay/http/httpclientconnection.h"
 
+#include "adapters/http/responsehead.h"
 #include "relay/http/chunkline.h"
 #include "relay/http/socketoptions.h"
 
@@ -176,7 +177,10 @@
 void HttpClientConnection::parse()
 {
     boost::system::error_code error;
-    m_buffer.consume(m_parser->put(m_buffer.data(), error));
+    if (!m_parser->is_header_done())
+        parseHead(error);
+    if (!error && !m_parser->is_done() && m_buffer.size() > 0)
+        m_buffer.consume(m_parser->put(m_buffer.data(), error));
     if (error && error != http::error::need_more) {
         broken(error.message());
         return;
@@ -196,11 +200,18 @@
     read();
 }
 
+void HttpClientConnection::parseHead(boost::system::error_code &error)
+{
+    m_buffer.consume(adapters::putResponseHead(*m_parser, m_buffer.data(), error));
+    // Further calls parse the body up to the last byte that is there.
+    if (!error)
+        m_parser->eager(true);
+}
+
 void HttpClientConnection::startResponse()
 {
     m_body = BodyShare(m_bodies);
     m_parser.emplace();
-    m_parser->eager(true);
     m_parser->header_limit(MaximumHeadBytes);
     m_parser->body_limit(m_maximumResponseBytes);
     m_parser->skip(m_request.method() == http::verb::head);
@@ -212,8 +223,7 @@
     HttpResponse response = m_parser->release();
     const std::string_view id = fieldValue(response, m_idField);
     // Not all interim responses (1xx) are known to the library by name.
-    const bool interim = response.result_int() / 100 == 1
-            && response.result() != http::status::switching_protocols;
+    const bool interim = response.result_int() / 100 == 1;
     if (interim || belongsToEarlierRequest(id)) {
         skipResponse(keepAlive);
         return;
--- a/packages/relay/http/httpclientconnection.h
+++ b/packages/relay/http/httpclientconnection.h
@@ -81,6 +81,7 @@
     void endOfInput();
     void completeAtEnd();
     void parse();
+    void parseHead(boost::system::error_code &error);
     void startResponse();
     void completeResponse();
     /** @param id identifier that the response repeats, or an empty text. */
--- a/tests/relay/brokenanswers_test.cpp
+++ b/tests/relay/brokenanswers_test.cpp
@@ -110,3 +110,95 @@
     REQUIRE(test.m_result->m_status == ExchangeStatus::Answered);
     CHECK(test.m_result->m_response.body() == "whole body");
 }
+
+namespace {
+
+/** How the end of an answer's body is told. */
+enum class Framing { Length, Chunks, EndOfConnection };
+
+struct AnswerParts
+{
+    std::string m_status = "200";
+    std::string m_id = "a";
+    /** Lines in the middle of the head. */
+    std::string m_lines{};
+    Framing m_framing = Framing::Length;
+    std::string m_trailers{};
+};
+
+std::string answerOf(const AnswerParts &parts)
+{
+    const std::string start = "HTTP/1.1 " + parts.m_status + " Reason\r\n"
+            + (parts.m_id.empty() ? "" : "Id: " + parts.m_id + "\r\n") + parts.m_lines;
+    if (parts.m_framing == Framing::Length)
+        return start + "Seal: s\r\nContent-Length: 4\r\n\r\nbody";
+    if (parts.m_framing == Framing::Chunks)
+        return start + "Transfer-Encoding: chunked\r\nSeal: s\r\n\r\n4\r\nbody\r\n0\r\n"
+                + parts.m_trailers + "\r\n";
+    return start + "Seal: s\r\n\r\nbody";
+}
+
+/** Sends an answer to a request on a first or a kept connection and waits for the outcome. */
+void answerRequest(ClientCase &test, bool kept, const AnswerParts &parts,
+                   http::verb method = http::verb::get)
+{
+    if (kept) {
+        test.request("first");
+        test.m_server->send("HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 0\r\n\r\n");
+        test.awaitResult();
+    }
+    test.request(parts.m_id, "", method);
+    test.awaitRequest();
+    test.m_server->send(answerOf(parts));
+    if (parts.m_framing == Framing::EndOfConnection)
+        test.m_server->endOutput();
+    test.awaitResult();
+}
+
+Framing eachFraming()
+{
+    return GENERATE(Framing::Length, Framing::Chunks, Framing::EndOfConnection);
+}
+
+} // namespace
+
+// Guards against checks that fail sound answers.
+TEST_CASE("Sound answers pass the checks, however their end is told")
+{
+    AnswerParts parts;
+    parts.m_framing = eachFraming();
+    parts.m_status = GENERATE(as<std::string>(), "200", "299", "302", "404", "500", "599");
+    parts.m_lines = GENERATE(as<std::string>(), "", "X-Text: tab\tand \xe9\r\n", "X-Empty:\r\n",
+                             "!#$%&'*+-.^_`|~: all\r\n");
+    const bool kept = GENERATE(false, true);
+    ClientCase test;
+    answerRequest(test, kept, parts);
+    REQUIRE(test.m_result->m_status == ExchangeStatus::Answered);
+    CHECK(test.m_result->m_response.result_int() == std::stoul(parts.m_status));
+    CHECK(test.m_result->m_response.body() == "body");
+    CHECK(test.m_client->isReusable(std::chrono::steady_clock::now())
+          == (parts.m_framing != Framing::EndOfConnection));
+}
+
+// Guards against a malformed line that is passed on, or that hides the framing, so that callers get
+// a body that is not the backend server's.
+TEST_CASE("An answer with a malformed line in its head is broken")
+{
+    using namespace std::string_literals;
+    AnswerParts parts;
+    parts.m_lines = GENERATE("Na me: x\r\n"s, "Name : x\r\n"s, "Name\t: x\r\n"s, " Name: x\r\n"s,
+                             "\tName: x\r\n"s, " folded\r\n"s, "X: y\r\n folded\r\n"s,
+                             "X:\r\n folded\r\n"s, " \r\n"s, "Na\x01me: x\r\n"s, "Na\x7fme: x\r\n"s,
+                             "Na\0me: x\r\n"s, "Na\xe9me: x\r\n"s, "Na(me: x\r\n"s, ": x\r\n"s,
+                             "Name\r\n"s, "Name: \x01x\r\n"s, "Name: x\x7f\r\n"s, "Name: \0\r\n"s,
+                             "Name: x\rY: z\r\n"s, "Name: x\nY: z\r\n"s, "Name: x\n"s,
+                             "\nY: z\r\n"s, "\rY: z\r\n"s, "Na\rme: x\r\n"s);
+    parts.m_framing = eachFraming();
+    const bool kept = GENERATE(false, true);
+    const http::verb method = GENERATE(http::verb::get, http::verb::head);
+    CAPTURE(parts.m_lines, static_cast<int>(parts.m_framing), kept, method);
+    ClientCase test;
+    answerRequest(test, kept, parts, method);
+    CHECK(test.m_result->m_status == ExchangeStatus::Broken);
+    CHECK(test.m_client->isClosed());
+}
