Break off answers with a transfer coding other than chunked

Callers saw: a body in a coding, e.g. gzip below the chunks or chunks within chunks, as the body of a 200 with the seal; the field that names the coding was dropped.

Cause: Beast's parser knows "chunked" as the last coding only. Others are left to its caller, which did not look.

Change: an answer may name a single coding, chunked, and only in HTTP/1.1. Two lengths, a length beside chunks and malformed chunk lines are rejected by the parser already; the tests keep that.

--- a/packages/adapters/http/responsehead.cpp
+++ b/packages/adapters/http/responsehead.cpp
@@ -1,8 +1,12 @@
 #include "adapters/http/responsehead.h"
 
+#include "adapters/http/httpmessage.h"
+
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace chervilmount::adapters {
 
@@ -11,6 +15,9 @@
 namespace http = boost::beast::http;
 
 constexpr std::string_view LineEnd = "\r\n";
+/** HTTP/1.1 as Beast states it. */
+constexpr unsigned VersionWithCodings = 11;
+
 bool isTokenCharacter(char character)
 {
     constexpr std::string_view Symbols = "!#$%&'*+-.^_`|~";
@@ -55,4 +62,16 @@
     }
 }
 
+boost::system::error_code checkFraming(unsigned version, const http::fields &fields)
+{
+    const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
+    if (first == last)
+        return {};
+    const bool isChunked = std::next(first) == last
+            && equalNames({first->value().data(), first->value().size()}, "chunked");
+    if (!isChunked || version < VersionWithCodings)
+        return http::error::bad_transfer_encoding;
+    return {};
+}
+
 } // namespace chervilmount::adapters
--- a/packages/adapters/http/responsehead.h
+++ b/packages/adapters/http/responsehead.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/system/error_code.hpp>
 
@@ -18,6 +19,13 @@
  */
 boost::system::error_code checkHeaderLines(std::string_view bytes);
 
+/**
+ * Checks the status and the framing of a response. Beast's parser accepts any three digits as
+ * status and leaves codings other than chunked to its caller.
+ * @returns http::error::bad_status or bad_transfer_encoding if the response is malformed.
+ */
+boost::system::error_code checkFraming(unsigned version, const boost::beast::http::fields &fields);
+
 /**
  * Hands bytes of a response to the parser until its head is whole.
  * @param parser has not finished the head, and is not eager.
@@ -31,7 +39,10 @@
     error = checkHeaderLines({static_cast<const char *>(bytes.data()), bytes.size()});
     if (error)
         return 0;
-    return parser.put(bytes, error);
+    const std::size_t used = parser.put(bytes, error);
+    if (!error && parser.is_header_done())
+        error = checkFraming(parser.get().version(), parser.get());
+    return used;
 }
 
 } // namespace chervilmount::adapters
--- a/tests/relay/brokenanswers_test.cpp
+++ b/tests/relay/brokenanswers_test.cpp
@@ -202,3 +202,46 @@
     CHECK(test.m_result->m_status == ExchangeStatus::Broken);
     CHECK(test.m_client->isClosed());
 }
+
+// Guards against a body whose end or coding is not what the answer states.
+TEST_CASE("An answer with contradictory or unknown framing is broken")
+{
+    const std::string framing = GENERATE(
+            as<std::string>(), "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+            "Content-Length: 4, 5\r\n\r\nbody", "Content-Length: -4\r\n\r\nbody",
+            "Content-Length: +4\r\n\r\nbody", "Content-Length: 4 4\r\n\r\nbody",
+            "Content-Length: 0x4\r\n\r\nbody", "Content-Length:\r\n\r\nbody",
+            "Content-Length: 99999999999999999999999\r\n\r\nbody",
+            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: gzip\r\n\r\nbody",
+            "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
+            "Transfer-Encoding: identity\r\n\r\nbody", "Transfer-Encoding:\r\n\r\nbody",
+            "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked, gzip\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked;q=1\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: xchunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n-4\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n 4\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n0x4\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n4\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n4\r\nbodyX\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n4\r\nbody0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n10000000000000004\r\nbody\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n4;\x01\r\nbody\r\n0\r\n\r\n");
+    const bool kept = GENERATE(false, true);
+    CAPTURE(framing, kept);
+    ClientCase test;
+    if (kept)
+        answerRequest(test, false, {.m_id = "first"});
+    test.request("a");
+    test.awaitRequest();
+    test.m_server->send("HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n" + framing);
+    test.m_server->endOutput();
+    test.awaitResult();
+    CHECK(test.m_result->m_status == ExchangeStatus::Broken);
+    CHECK(test.m_client->isClosed());
+}
