End the connection on which an answer has no valid status

Callers saw: 502, since the gate before the backend server rejected statuses below 200 and above 599. But the exchange counted as answered, so that the connection was used again, and status checks and the store's client took any three digits.

Cause: Beast's parser accepts any three digits as status.

Change: the check of an answer's head accepts 100 to 599 without 101, which answers an upgrade that nobody asks for. The gate's own check can no longer be reached and is removed; a test through both nodes covers what it did.

Evidence: "An answer with a status that HTTP does not define is broken" failed before for 000, 001, 099, 101, 600 and 999 in all framings, 54 of 126 variants; it passes now. Statuses of two or four digits were rejected before.

--- a/packages/adapters/http/responsehead.cpp
+++ b/packages/adapters/http/responsehead.cpp
@@ -15,6 +15,10 @@
 namespace http = boost::beast::http;
 
 constexpr std::string_view LineEnd = "\r\n";
+constexpr unsigned FirstStatus = 100;
+constexpr unsigned LastStatus = 599;
+/** Answers an upgrade, which nobody here asks for. */
+constexpr unsigned SwitchingProtocols = 101;
 /** HTTP/1.1 as Beast states it. */
 constexpr unsigned VersionWithCodings = 11;
 
@@ -62,8 +66,11 @@
     }
 }
 
-boost::system::error_code checkFraming(unsigned version, const http::fields &fields)
+boost::system::error_code checkFraming(unsigned status, unsigned version,
+                                       const http::fields &fields)
 {
+    if (status < FirstStatus || status > LastStatus || status == SwitchingProtocols)
+        return http::error::bad_status;
     const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
     if (first == last)
         return {};
--- a/packages/adapters/http/responsehead.h
+++ b/packages/adapters/http/responsehead.h
@@ -24,7 +24,8 @@
  * status and leaves codings other than chunked to its caller.
  * @returns http::error::bad_status or bad_transfer_encoding if the response is malformed.
  */
-boost::system::error_code checkFraming(unsigned version, const boost::beast::http::fields &fields);
+boost::system::error_code checkFraming(unsigned status, unsigned version,
+                                       const boost::beast::http::fields &fields);
 
 /**
  * Hands bytes of a response to the parser until its head is whole.
@@ -41,7 +42,7 @@
         return 0;
     const std::size_t used = parser.put(bytes, error);
     if (!error && parser.is_header_done())
-        error = checkFraming(parser.get().version(), parser.get());
+        error = checkFraming(parser.get().result_int(), parser.get().version(), parser.get());
     return used;
 }
 
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -23,10 +23,6 @@
 /** A stale connection, which the backend server has closed or dropped, is reset within this time of
  * the send. Long enough for a busy machine, too short for a run to get far. */
 constexpr std::chrono::milliseconds StaleResetWindow{50};
-/** Statuses that a final response can have. @{ */
-constexpr int FirstFinalStatus = 200;
-constexpr int LastFinalStatus = 599;
-/** @} */
 
 using Milliseconds = std::chrono::milliseconds;
 
@@ -414,8 +410,7 @@
     const int status = static_cast<int>(response.result_int());
     const bool sealed = !fieldValue(response, names.m_seal).empty();
     // Without the attempt's identifier not even a refusal is known to concern this request.
-    if (fieldValue(response, names.m_attempt) != run.m_call.m_attempt || status < FirstFinalStatus
-        || status > LastFinalStatus)
+    if (fieldValue(response, names.m_attempt) != run.m_call.m_attempt)
         return Failure{run.m_call.m_id, false, true, FailureReason::Broken, {}};
     readServerState(run, response, sealed);
     if (response.result() == http::status::misdirected_request && !sealed) {
--- a/tests/platform/brokenanswers_test.cpp
+++ b/tests/platform/brokenanswers_test.cpp
@@ -120,3 +120,35 @@
     if (!idempotent)
         CHECK(test.m_backend->m_arrivals == 1);
 }
+
+// Guards against answers that are none in HTTP and reach callers, at the entry node and at the node
+// beside the backend server. An order runs once whatever comes back.
+TEST_CASE("Callers get a failure of the node for an answer that is none in HTTP")
+{
+    BrokenAnswerCase test;
+    struct Answer
+    {
+        const char *m_status;
+        const char *m_lines;
+    };
+    const Answer answer = GENERATE(Answer{"000", ""}, Answer{"099", ""}, Answer{"101", ""},
+                                   Answer{"600", ""}, Answer{"20", ""}, Answer{"2000", ""},
+                                   Answer{"200", "Na me: x\r\n"}, Answer{"200", "Name : x\r\n"},
+                                   Answer{"200", " folded\r\n"}, Answer{"200", "Na\x01me: x\r\n"},
+                                   Answer{"200", "Name: \x01\r\n"}, Answer{"200", ": x\r\n"},
+                                   Answer{"200", "Name\r\n"}, Answer{"200", "Name: x\nY: z\r\n"},
+                                   Answer{"200", "Transfer-Encoding: gzip\r\n"});
+    const std::string framing =
+            GENERATE(as<std::string>(), "Content-Length: 6\r\n\r\nsecret", "\r\nsecret");
+    const bool beside = GENERATE(false, true);
+    const std::string attempt = GENERATE(as<std::string>(), "a1", "");
+    CAPTURE(answer.m_status, answer.m_lines, framing, beside, attempt);
+    test.m_backend->m_script = [&](RawCaller &connection, const std::string &id) {
+        connection.send(headOf(answer.m_status, id) + Seal + answer.m_lines + framing);
+        connection.endOutput();
+    };
+    const std::string received = test.call(test.node(beside), "GET", "/orders/1", attempt);
+    CHECK(isFailureOfNode(received));
+    CHECK(received.starts_with("HTTP/1.1 502 "));
+    CHECK(test.m_backend->m_arrivals == 1);
+}
--- a/tests/relay/brokenanswers_test.cpp
+++ b/tests/relay/brokenanswers_test.cpp
@@ -245,3 +245,19 @@
     CHECK(test.m_result->m_status == ExchangeStatus::Broken);
     CHECK(test.m_client->isClosed());
 }
+
+// Guards against an answer whose status is none, and against one that ends the exchange as interim.
+TEST_CASE("An answer with a status that HTTP does not define is broken")
+{
+    AnswerParts parts;
+    parts.m_status = GENERATE(as<std::string>(), "000", "001", "099", "101", "600", "999", "20",
+                              "2000", "", "-20", "+20", "2 0", "0x2", "2OO");
+    parts.m_framing = eachFraming();
+    parts.m_id = GENERATE(as<std::string>(), "a", "");
+    const bool kept = parts.m_id.empty() ? false : GENERATE(false, true);
+    CAPTURE(parts.m_status, static_cast<int>(parts.m_framing), parts.m_id, kept);
+    ClientCase test;
+    answerRequest(test, kept, parts);
+    CHECK(test.m_result->m_status == ExchangeStatus::Broken);
+    CHECK(test.m_client->isClosed());
+}
