Drop the trailer fields of answers

Callers saw: nothing observed; a trailer could say "not run" of a request that has run (503 in place of its answer), seal an answer that the head did not seal, or change its identifier.

Cause: Beast's parser adds the fields of a trailer to those of the head.

Change: the head of an answer in chunks is kept as it was when it was whole (RFC 9110, 6.5.1: trailer fields are not merged unless their definition allows it). A malformed trailer breaks the answer, as before.

Evidence: "Trailer fields are not part of the answer's head" failed before in all 8 variants; it passes now.

--- a/packages/relay/http/httpclientconnection.cpp
+++ b/packages/relay/http/httpclientconnection.cpp
@@ -203,14 +203,18 @@
 void HttpClientConnection::parseHead(boost::system::error_code &error)
 {
     m_buffer.consume(adapters::putResponseHead(*m_parser, m_buffer.data(), error));
+    if (error)
+        return;
     // Further calls parse the body up to the last byte that is there.
-    if (!error)
-        m_parser->eager(true);
+    m_parser->eager(true);
+    if (m_parser->chunked())
+        m_headFields = m_parser->get().base();
 }
 
 void HttpClientConnection::startResponse()
 {
     m_body = BodyShare(m_bodies);
+    m_headFields.reset();
     m_parser.emplace();
     m_parser->header_limit(MaximumHeadBytes);
     m_parser->body_limit(m_maximumResponseBytes);
@@ -221,6 +225,9 @@
 {
     const bool keepAlive = m_parser->keep_alive();
     HttpResponse response = m_parser->release();
+    // The parser adds the fields of a trailer to those of the head, where they would count as such.
+    if (m_headFields)
+        response.base() = *std::exchange(m_headFields, std::nullopt);
     const std::string_view id = fieldValue(response, m_idField);
     // Not all interim responses (1xx) are known to the library by name.
     const bool interim = response.result_int() / 100 == 1;
--- a/tests/relay/brokenanswers_test.cpp
+++ b/tests/relay/brokenanswers_test.cpp
@@ -261,3 +261,40 @@
     CHECK(test.m_result->m_status == ExchangeStatus::Broken);
     CHECK(test.m_client->isClosed());
 }
+
+// Guards against fields behind the body that count as fields of the head: they would say "not run"
+// of a request that has run, or seal an answer that the head does not.
+TEST_CASE("Trailer fields are not part of the answer's head")
+{
+    AnswerParts parts;
+    parts.m_framing = Framing::Chunks;
+    parts.m_trailers = GENERATE(as<std::string>(), "Not-Run: 1\r\n", "Id: other\r\n", "Seal: t\r\n",
+                                "Connection: close\r\nNot-Run: 1\r\n");
+    CAPTURE(parts.m_trailers);
+    ClientCase test;
+    answerRequest(test, GENERATE(false, true), parts);
+    REQUIRE(test.m_result->m_status == ExchangeStatus::Answered);
+    const HttpResponse &response = test.m_result->m_response;
+    CHECK(response.body() == "body");
+    CHECK(response.find("Not-Run") == response.end());
+    CHECK(response.count("Id") == 1);
+    CHECK(fieldValue(response, "Id") == "a");
+    CHECK(response.count("Seal") == 1);
+    CHECK(fieldValue(response, "Seal") == "s");
+}
+
+// Guards against a malformed trailer that is read as sound.
+TEST_CASE("An answer with a malformed trailer is broken")
+{
+    AnswerParts parts;
+    parts.m_framing = Framing::Chunks;
+    parts.m_trailers = GENERATE(as<std::string>(), "Na me: x\r\n", "Name : x\r\n", " Name: x\r\n",
+                                "Na\x01me: x\r\n", ": x\r\n", "Name\r\n", "Name: \x01\r\n",
+                                "Name: x\rY: z\r\n", "Name: x\nY: z\r\n", "Content-Length: 9\r\n",
+                                "Transfer-Encoding: chunked\r\n");
+    const bool kept = GENERATE(false, true);
+    CAPTURE(parts.m_trailers, kept);
+    ClientCase test;
+    answerRequest(test, kept, parts);
+    CHECK(test.m_result->m_status == ExchangeStatus::Broken);
+}
