Bound the head of an answer however it arrives

Callers saw: nothing observed; a backend server whose answer's head never ends could take the memory of the node.

Cause: Beast's parser removes each whole line of a head and compares its limit with the bytes that it has not used. If a segment ends one or two bytes behind the start of a line, the next lines are parsed at once, and the head grows without bound. Segments that end elsewhere made the parser wait for the whole head, which its limit of 32 KiB ended.

Change: the bytes that the parser has used count as well.

Evidence: "A head that arrives line by line without end is broken off" read all of 2000 lines (200 KB) before, for a final and for an interim response; it ends within the limit now.

--- a/packages/relay/http/httpclientconnection.cpp
+++ b/packages/relay/http/httpclientconnection.cpp
@@ -202,7 +202,12 @@
 
 void HttpClientConnection::parseHead(boost::system::error_code &error)
 {
-    m_buffer.consume(adapters::putResponseHead(*m_parser, m_buffer.data(), error));
+    const std::size_t used = adapters::putResponseHead(*m_parser, m_buffer.data(), error);
+    m_buffer.consume(used);
+    // The parser bounds only the bytes that it has not used yet.
+    m_headBytes += used;
+    if (m_headBytes > MaximumHeadBytes)
+        error = http::error::header_limit;
     if (error)
         return;
     // Further calls parse the body up to the last byte that is there.
@@ -215,6 +220,7 @@
 {
     m_body = BodyShare(m_bodies);
     m_headFields.reset();
+    m_headBytes = 0;
     m_parser.emplace();
     m_parser->header_limit(MaximumHeadBytes);
     m_parser->body_limit(m_maximumResponseBytes);
--- a/packages/relay/http/httpclientconnection.h
+++ b/packages/relay/http/httpclientconnection.h
@@ -101,6 +101,8 @@
     std::string m_id;
     Callback m_callback;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
+    /** Bytes of the head that the parser has used. */
+    std::size_t m_headBytes = 0;
     /** Head of a response whose body comes in chunks, which a trailer may follow. */
     std::optional<HttpResponse::header_type> m_headFields;
     TimePoint m_idleUntil;
--- a/tests/relay/brokenanswers_test.cpp
+++ b/tests/relay/brokenanswers_test.cpp
@@ -298,3 +298,25 @@
     answerRequest(test, kept, parts);
     CHECK(test.m_result->m_status == ExchangeStatus::Broken);
 }
+
+// Guards against a node that runs out of memory: the parser bounds only the bytes of a head that it
+// has not used yet, which stay few if each segment ends just behind the start of a line.
+TEST_CASE("A head that arrives line by line without end is broken off")
+{
+    constexpr int Lines = 2000;
+    const bool interim = GENERATE(false, true);
+    ClientCase test;
+    test.request("a");
+    test.awaitRequest();
+    test.m_server->send(interim ? "HTTP/1.1 103 Early Hints\r\nX" : "HTTP/1.1 200 OK\r\nX");
+    int lines = 0;
+    while (!test.m_result && lines < Lines) {
+        test.m_server->send("-More: " + std::string(90, 'x') + "\r\nX");
+        test.m_context.restart();
+        test.m_context.poll();
+        ++lines;
+    }
+    test.awaitResult();
+    CHECK(test.m_result->m_status == ExchangeStatus::Broken);
+    CHECK(lines < Lines);
+}
