Leave memory for other answers beside bodies without end

Callers saw: nothing observed; answers of a sound length were broken off (502) while a backend server in trouble sent bodies without end to others, and uploads were refused.

Cause: the budget for all bodies of a process is given to whoever asks first. Two answers of 32 MiB take it whole.

Change: an answer gets at most half of what the other bodies leave (dynamic threshold). One answer may still use half of the budget, n endless ones leave a share of 1/(n + 1). Uploads of callers keep the bound they had.

Ruled out: a fixed share per answer, which either refuses large downloads in calm or fails with few endless ones.

--- a/packages/relay/http/bodybudget.cpp
+++ b/packages/relay/http/bodybudget.cpp
@@ -1,5 +1,6 @@
 #include "relay/http/bodybudget.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace chervilmount::relay {
@@ -42,6 +43,17 @@
     return true;
 }
 
+bool BodyShare::resizeFairly(std::size_t bytes)
+{
+    if (!m_budget)
+        return true;
+    const std::size_t others = m_budget->m_used - m_bytes;
+    const std::size_t room = m_budget->m_limit - std::min(m_budget->m_limit, others);
+    if (bytes > m_bytes && bytes > room / 2)
+        return false;
+    return resize(bytes);
+}
+
 void BodyShare::add(std::size_t bytes)
 {
     if (!m_budget)
--- a/packages/relay/http/bodybudget.h
+++ b/packages/relay/http/bodybudget.h
@@ -30,6 +30,12 @@
      * @returns whether the budget grants it; the share stays as it was otherwise. */
     bool resize(std::size_t bytes);
 
+    /** As resize(), but grants at most half of what the other bodies leave, so that bodies without
+     * end, however many, leave room for others. See Choudhury and Hahne, "Dynamic Queue Length
+     * Thresholds for Shared-Memory Packet Switches", IEEE/ACM Transactions on Networking 6(2),
+     * 1998. */
+    bool resizeFairly(std::size_t bytes);
+
     /** Counts further bytes that are held in any case, so that others find less room. */
     void add(std::size_t bytes);
 
--- a/packages/relay/http/httpclientconnection.cpp
+++ b/packages/relay/http/httpclientconnection.cpp
@@ -189,7 +189,7 @@
         broken("the line before a chunk is too long");
         return;
     }
-    if (!m_body.resize(m_parser->get().body().size())) {
+    if (!m_body.resizeFairly(m_parser->get().body().size())) {
         broken("no memory for the body of the response");
         return;
     }
--- a/tests/relay/brokenanswers_test.cpp
+++ b/tests/relay/brokenanswers_test.cpp
@@ -320,3 +320,39 @@
     CHECK(test.m_result->m_status == ExchangeStatus::Broken);
     CHECK(lines < Lines);
 }
+
+// Guards against one backend server that takes all memory for bodies: the answers of others, and
+// the uploads of callers, found none left.
+TEST_CASE("Bodies without end leave memory for other answers")
+{
+    constexpr std::size_t Endless = 20;
+    const std::string framing =
+            GENERATE(as<std::string>(), "\r\n", "Content-Length: 900000\r\n\r\n",
+                     "Transfer-Encoding: chunked\r\n\r\ndbba0\r\n");
+    SharedServer server;
+    std::vector<std::unique_ptr<ServerClient>> clients;
+    for (std::size_t client = 0; client <= Endless; ++client)
+        clients.push_back(std::make_unique<ServerClient>(server));
+    for (std::size_t client = 0; client < Endless; ++client) {
+        clients[client]->request("a");
+        clients[client]->m_server->send("HTTP/1.1 200 OK\r\nId: a\r\n" + framing);
+    }
+    ServerClient &other = *clients.back();
+    constexpr int Rounds = 200;
+    int answered = 0;
+    std::size_t mostUsed = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        for (std::size_t client = 0; client < Endless; ++client)
+            clients[client]->m_server->trySend(std::string(1000, 'x'));
+        other.request("a");
+        other.m_server->send("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2000\r\n\r\n"
+                             + std::string(2000, 'y'));
+        REQUIRE(runUntil(server.m_loop, [&other] { return other.m_result.has_value(); }));
+        answered += other.m_result->m_status == ExchangeStatus::Answered ? 1 : 0;
+        if (other.m_client->isClosed())
+            break;
+        mostUsed = std::max(mostUsed, server.m_bodies->m_used);
+    }
+    CHECK(answered == Rounds);
+    CHECK(mostUsed <= server.m_bodies->m_limit);
+}
