Tell a reset from the end of a body in the node's own interface

Callers saw: the same as on the platform, for the nodes that serve the project's own interface: part of a body without a length as complete, when a backend server reset the connection beside an upload.

HttpConnection writes the whole request before it reads, so that a failed write has always received the reset.

Change: a body without a length fails if a write on its connection has failed otherwise than by a broken pipe.

--- a/packages/adapters/http/httpconnection.cpp
+++ b/packages/adapters/http/httpconnection.cpp
@@ -73,6 +73,7 @@
     m_request.body().more = head.m_hasBody;
     m_serializer.emplace(m_request);
     const auto [error, bytes] = co_await http::async_write_header(m_stream, *m_serializer, AsTuple);
+    recordWrite(error);
     co_return !error;
 }
 
@@ -84,6 +85,8 @@
     m_request.body().size = data.size();
     m_request.body().more = true;
     const auto [error, bytes] = co_await http::async_write(m_stream, *m_serializer, AsTuple);
+    if (error != http::error::need_buffer)
+        recordWrite(error);
     co_return !error || error == http::error::need_buffer;
 }
 
@@ -94,6 +97,7 @@
     m_request.body().more = false;
     const auto [error, bytes] = co_await http::async_write(m_stream, *m_serializer, AsTuple);
     m_bodyFinished = !error;
+    recordWrite(error);
     co_return !error;
 }
 
@@ -128,7 +132,7 @@
     data.clear();
     if (m_parser->is_done()) {
         m_reusable = m_bodyFinished && m_parser->keep_alive();
-        co_return BodyRead::End;
+        co_return endOfBody();
     }
     data.resize(maximumBytes);
     auto &body = m_parser->get().body();
@@ -140,7 +144,20 @@
         co_return BodyRead::Failed;
     if (m_parser->is_done())
         m_reusable = m_bodyFinished && m_parser->keep_alive();
-    co_return data.empty() && m_parser->is_done() ? BodyRead::End : BodyRead::Data;
+    co_return data.empty() && m_parser->is_done() ? endOfBody() : BodyRead::Data;
+}
+
+void HttpConnection::recordWrite(boost::system::error_code error)
+{
+    // A broken pipe says that the server had ended its bytes in order before the connection failed.
+    m_wasReset = m_wasReset || (error && error != boost::asio::error::broken_pipe);
+}
+
+HttpConnection::BodyRead HttpConnection::endOfBody() const
+{
+    // A socket reports a reset once. If a write has received it, the end that a read finds does not
+    // show that a body without a length is whole.
+    return m_wasReset && m_parser->need_eof() ? BodyRead::Failed : BodyRead::End;
 }
 
 bool HttpConnection::isStillIdle()
--- a/packages/adapters/http/httpconnection.h
+++ b/packages/adapters/http/httpconnection.h
@@ -77,6 +77,9 @@
     using Request = boost::beast::http::request<boost::beast::http::buffer_body>;
     using Serializer = boost::beast::http::request_serializer<boost::beast::http::buffer_body>;
 
+    void recordWrite(boost::system::error_code error);
+    BodyRead endOfBody() const;
+
     boost::beast::tcp_stream m_stream;
     std::size_t m_headBytes;
     boost::asio::ip::tcp::endpoint m_endpoint;
@@ -88,6 +91,8 @@
     bool m_headRequest = false;
     bool m_requestSent = false;
     bool m_bodyFinished = false;
+    /** A write has found the connection failed before the end of the server's bytes. */
+    bool m_wasReset = false;
     bool m_reusable = false;
 };
 
