Check heads of answers in the node's own interface as on the platform

Callers saw: answers with folded lines, with the status 600 or in a coding that was not removed, from the nodes that serve the project's own interface. A head that arrived line by line without end could take the memory of the node.

Change: HttpConnection reads the head itself, with the same checks, and counts the bytes that the parser has used.

--- a/packages/adapters/http/httpconnection.cpp
+++ b/packages/adapters/http/httpconnection.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http/httpconnection.h"
 
+#include "adapters/http/responsehead.h"
+
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -15,6 +17,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t ReadAheadBytes = 64UL * 1024;
+constexpr std::size_t HeadReadBytes = 8192;
 
 // Interim (1xx) responses accepted before the final response; more fail the read.
 constexpr int MaximumInterimResponses = 8;
@@ -108,9 +111,8 @@
         m_parser->header_limit(static_cast<std::uint32_t>(m_headBytes));
         m_parser->body_limit(boost::none);
         m_parser->skip(m_headRequest);
-        const auto [error, bytes] =
-                co_await http::async_read_header(m_stream, m_buffer, *m_parser, AsTuple);
-        if (error)
+        const bool isWhole = co_await parseHead();
+        if (!isWhole)
             co_return std::nullopt;
         const auto &message = m_parser->get();
         if (message.result_int() < 200)
@@ -147,6 +149,29 @@
     co_return data.empty() && m_parser->is_done() ? endOfBody() : BodyRead::Data;
 }
 
+Task<bool> HttpConnection::parseHead()
+{
+    std::size_t used = 0;
+    for (;;) {
+        boost::system::error_code error = http::error::need_more;
+        if (m_buffer.size() > 0) {
+            const std::size_t bytes = putResponseHead(*m_parser, m_buffer.data(), error);
+            m_buffer.consume(bytes);
+            used += bytes;
+        }
+        // The parser bounds the bytes that it has not used yet.
+        if (used > m_headBytes || (error && error != http::error::need_more))
+            co_return false;
+        if (!error)
+            co_return true;
+        const auto [readError, received] =
+                co_await m_stream.async_read_some(m_buffer.prepare(HeadReadBytes), AsTuple);
+        if (readError)
+            co_return false;
+        m_buffer.commit(received);
+    }
+}
+
 void HttpConnection::recordWrite(boost::system::error_code error)
 {
     // A broken pipe says that the server had ended its bytes in order before the connection failed.
--- a/packages/adapters/http/httpconnection.h
+++ b/packages/adapters/http/httpconnection.h
@@ -77,6 +77,8 @@
     using Request = boost::beast::http::request<boost::beast::http::buffer_body>;
     using Serializer = boost::beast::http::request_serializer<boost::beast::http::buffer_body>;
 
+    /** Reads until the parser has the whole head. @returns false if it failed. */
+    Task<bool> parseHead();
     void recordWrite(boost::system::error_code error);
     BodyRead endOfBody() const;
 
--- a/tests/adapters/httpconnection_test.cpp
+++ b/tests/adapters/httpconnection_test.cpp
@@ -136,3 +136,45 @@
     CHECK(outcome.m_isComplete);
     CHECK(outcome.m_body == "whole body");
 }
+
+// Guards against answers that are none in HTTP and are passed on.
+TEST_CASE("A malformed head of an answer fails")
+{
+    const std::string head =
+            GENERATE(as<std::string>(), "HTTP/1.1 000 None\r\n", "HTTP/1.1 099 None\r\n",
+                     "HTTP/1.1 600 None\r\n", "HTTP/1.1 101 Switching\r\n", "HTTP/1.1 20 None\r\n",
+                     "HTTP/1.1 2000 None\r\n", "HTTP/1.1 200 OK\r\n Name: x\r\n",
+                     "HTTP/1.1 200 OK\r\nA: b\r\n folded\r\n", "HTTP/1.1 200 OK\r\nNa me: x\r\n",
+                     "HTTP/1.1 200 OK\r\nName : x\r\n", "HTTP/1.1 200 OK\r\nNa\x01me: x\r\n",
+                     "HTTP/1.1 200 OK\r\nName: \x01\r\n", "HTTP/1.1 200 OK\r\n: x\r\n",
+                     "HTTP/1.1 200 OK\r\nName\r\n", "HTTP/1.1 200 OK\r\nName: x\nY: z\r\n",
+                     "HTTP/1.1 200 OK\r\nName: x\rY: z\r\n",
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n");
+    const std::string framing =
+            GENERATE(as<std::string>(), "Content-Length: 4\r\n\r\nbody", "\r\nbody");
+    CAPTURE(head, framing);
+    ConnectionCase test;
+    test.begin(0);
+    test.send(head + framing);
+    test.endOutput();
+    CHECK_FALSE(test.awaitOutcome().m_head);
+}
+
+// Guards against a process that runs out of memory: the parser bounds only the bytes of a head that
+// it has not used yet, which stay few if each segment ends just behind the start of a line.
+TEST_CASE("A head that arrives line by line without end fails")
+{
+    ConnectionCase test;
+    test.begin(0);
+    test.send("HTTP/1.1 200 OK\r\nX");
+    int lines = 0;
+    while (!test.m_outcome && lines < 2000) {
+        test.send("-More: " + std::string(90, 'x') + "\r\nX");
+        test.m_context.restart();
+        test.m_context.poll();
+        ++lines;
+    }
+    CHECK_FALSE(test.awaitOutcome().m_head);
+    CHECK(lines < 2000);
+}
