Take no bytes from before a request as the answer to it

Callers saw: nothing observed; a caller that sends no identifier could get a late answer to another request, or bytes that the backend server sent before the request.

Cause: without an identifier, any response was taken, on used connections too, and a new connection was read before the request was sent, so that early bytes counted as what followed it.

Change: a request without an identifier is sent on a new connection, a new connection is read from its first request on, and bytes that have arrived by then break the exchange if no identifier tells them apart. The fuzz target of heads runs the checks of responses.

--- a/fuzz/http_fuzz.cpp
+++ b/fuzz/http_fuzz.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/httplistener.h"
 #include "adapters/http/httpmessage.h"
+#include "adapters/http/responsehead.h"
 #include "fuzz/require.h"
 
 #include <boost/asio/buffer.hpp>
@@ -38,6 +39,18 @@
     }
 }
 
+/** Hands bytes to a parser; those of a response's head are checked as the connections check them.
+ */
+template<typename Parser>
+std::size_t put(Parser &parser, boost::asio::const_buffer bytes, boost::system::error_code &error)
+{
+    if constexpr (!Parser::is_request::value) {
+        if (!parser.is_header_done())
+            return putResponseHead(parser, bytes, error);
+    }
+    return parser.put(bytes, error);
+}
+
 /** Feeds bytes to a parser as the connections do, with a bounded buffer for the body. */
 template<typename Parser>
 void parse(std::string_view bytes)
@@ -56,7 +69,7 @@
         }
         boost::system::error_code error;
         const std::size_t used =
-                parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+                put(parser, boost::asio::const_buffer(bytes.data(), bytes.size()), error);
         require(used <= bytes.size());
         if (parser.is_header_done() && !headChecked) {
             headChecked = true;
--- a/packages/relay/http/httpclientconnection.cpp
+++ b/packages/relay/http/httpclientconnection.cpp
@@ -68,7 +68,6 @@
                                }
                                setConnectionOptions(self->m_socket);
                                limitUnacknowledgedTime(self->m_socket);
-                               self->read();
                                callback(true);
                            });
 }
@@ -81,6 +80,11 @@
     m_receivedBytes = false;
     m_skippedResponses = 0;
     startResponse();
+    boost::system::error_code ignored;
+    if (m_id.empty() && m_socket.available(ignored) > 0) {
+        rejectEarlyBytes();
+        return;
+    }
     m_writing = true;
     http::async_write(
             m_socket, m_request,
@@ -94,6 +98,15 @@
     read();
 }
 
+void HttpClientConnection::rejectEarlyBytes()
+{
+    // The caller of exchange() may not expect its callback before that returns.
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (!self->m_closed)
+            self->broken("bytes arrived before the request was sent");
+    });
+}
+
 void HttpClientConnection::close()
 {
     m_closed = true;
--- a/packages/relay/http/httpclientconnection.h
+++ b/packages/relay/http/httpclientconnection.h
@@ -61,7 +61,8 @@
      * Sends a request and waits for the response that carries the same identifier. Responses with
      * another one, and on a used connection those without one, are late answers to earlier requests
      * and are dropped.
-     * @param id identifier that the response must repeat; empty accepts any response.
+     * @param id identifier that the response must repeat; empty accepts any response, unless bytes
+     * have arrived before the request is sent.
      */
     void exchange(HttpRequest request, std::string id, Callback callback);
 
@@ -76,6 +77,7 @@
     bool hasBeenUsed() const { return m_exchanges > 0; }
 
 private:
+    void rejectEarlyBytes();
     void read();
     void received(boost::system::error_code error, std::size_t bytes);
     void endOfInput();
--- a/packages/relay/inbound/localgate.cpp
+++ b/packages/relay/inbound/localgate.cpp
@@ -286,7 +286,9 @@
     run.m_forwardedDeadline = traffic::enterRun(m_lineage, number, run.m_deadline);
     run.m_timer = m_timers.add(run.m_deadline + ResponseMargin,
                                [this, number] { handleTimeout(number); });
-    connectRun(number, false);
+    // On a used connection nothing tells a late answer from that to a request without an
+    // identifier.
+    connectRun(number, run.m_call.m_attempt.empty());
 }
 
 void LocalGate::connectRun(std::uint64_t number, bool newConnection)
--- a/tests/relay/brokenanswers_test.cpp
+++ b/tests/relay/brokenanswers_test.cpp
@@ -1,8 +1,10 @@
 #include "relay/clientcase.h"
 
 #include <algorithm>
+#include <fstream>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace chervilmount::relay;
@@ -356,3 +358,80 @@
     CHECK(answered == Rounds);
     CHECK(mostUsed <= server.m_bodies->m_limit);
 }
+
+// Guards against an answer to nothing: without an identifier, bytes from before the request cannot
+// be told from the answer to it.
+TEST_CASE("Bytes from before a request without an identifier do not answer it")
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    ClientCase test;
+    test.m_server->send(answer);
+    std::this_thread::sleep_for(ArrivalTime);
+    test.request("");
+    test.awaitResult();
+    CHECK(test.m_result->m_status == ExchangeStatus::Broken);
+    CHECK(test.m_client->isClosed());
+}
+
+namespace {
+
+std::string peakMemory()
+{
+    std::ifstream status("/proc/self/status");
+    std::string line;
+    while (std::getline(status, line) && !line.starts_with("VmHWM"))
+        ;
+    return line;
+}
+
+/** Prints the peak memory of the process beside endless bodies, with the limits of the default
+ * settings. */
+void measurePeakMemory(std::size_t endless)
+{
+    SharedServer server;
+    server.m_bodies->m_limit = 64UL * 1024 * 1024;
+    std::vector<std::unique_ptr<ServerClient>> clients;
+    for (std::size_t client = 0; client < endless; ++client) {
+        clients.push_back(std::make_unique<ServerClient>(server, 32UL * 1024 * 1024));
+        clients.back()->request("a");
+        clients.back()->m_server->send("HTTP/1.1 200 OK\r\nId: a\r\n\r\n");
+    }
+    WARN(endless << " answers, before: " << peakMemory());
+    const std::string bytes(64UL * 1024, 'x');
+    std::size_t mostUsed = 0;
+    const bool allEnded = runUntil(
+            server.m_loop,
+            [&] {
+                for (const std::unique_ptr<ServerClient> &client : clients)
+                    client->m_server->trySend(bytes);
+                mostUsed = std::max(mostUsed, server.m_bodies->m_used);
+                return std::all_of(clients.begin(), clients.end(),
+                                   [](const auto &client) { return client->m_result.has_value(); });
+            },
+            60s);
+    CHECK(allEnded);
+    WARN(endless << " answers, after: " << peakMemory() << ", bodies " << mostUsed);
+}
+
+} // namespace
+
+// Measurements, hidden since each needs a process of its own: relay_tests "Peak memory beside 100*"
+TEST_CASE("Peak memory beside 1 endless body", "[.memory]")
+{
+    measurePeakMemory(1);
+}
+
+TEST_CASE("Peak memory beside 10 endless bodies", "[.memory]")
+{
+    measurePeakMemory(10);
+}
+
+TEST_CASE("Peak memory beside 100 endless bodies", "[.memory]")
+{
+    measurePeakMemory(100);
+}
+
+TEST_CASE("Peak memory beside 400 endless bodies", "[.memory]")
+{
+    measurePeakMemory(400);
+}
--- a/tests/relay/clientcase.h
+++ b/tests/relay/clientcase.h
@@ -25,18 +25,17 @@
 /** A connection to a server whose bytes the test writes. */
 struct ServerClient
 {
-    static constexpr std::size_t ResponseBytes = 1000000;
-
     boost::asio::io_context &m_context;
     std::shared_ptr<chervilmount::relay::HttpClientConnection> m_client;
     std::unique_ptr<RawCaller> m_server;
     std::optional<chervilmount::relay::ExchangeResult> m_result;
     int m_requests = 0;
 
-    explicit ServerClient(SharedServer &shared)
+    /** @param responseBytes longest accepted body. */
+    explicit ServerClient(SharedServer &shared, std::size_t responseBytes = 1000000)
         : m_context(shared.m_loop)
         , m_client(std::make_shared<chervilmount::relay::HttpClientConnection>(
-                  m_context, "Id", ResponseBytes, shared.m_bodies))
+                  m_context, "Id", responseBytes, shared.m_bodies))
     {
         bool connected = false;
         shared.m_acceptor.async_accept(
--- a/tests/relay/localgate_test.cpp
+++ b/tests/relay/localgate_test.cpp
@@ -252,6 +252,28 @@
     CHECK_FALSE(std::get<Failure>(*result).m_notRun);
 }
 
+// Guards against a late answer that is taken for that to a request without an identifier: on a new
+// connection there is none.
+TEST_CASE("A request without an identifier is not sent on a used connection")
+{
+    GateCase test;
+    test.m_answersPerConnection = 1000;
+    CHECK(isAnswer(test.run("a1", true)));
+    CHECK(isAnswer(test.run("a2", true)));
+    REQUIRE(test.m_connections.size() == 1);
+    std::optional<CallResult> result;
+    test.m_gate->run(GateCase::makeCall("", true),
+                     [&result](CallResult end) { result = std::move(end); });
+    REQUIRE(runUntil(test.m_context, [&test] {
+        return test.m_connections.size() == 2
+                && countOf(test.m_connections.back()->m_received, "\r\n\r\n") == 1;
+    }));
+    test.m_connections.back()->send("HTTP/1.1 400 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(runUntil(test.m_context, [&result] { return result.has_value(); }));
+    REQUIRE(std::holds_alternative<Failure>(*result));
+    CHECK(std::get<Failure>(*result).m_notRun);
+}
+
 // Guards against the other idle connections failing one after the other, when a backend server has
 // forgotten all of them.
 TEST_CASE("One stale connection ends the other idle ones")
