--- a/tests/adapters/httpconnection_test.cpp
+++ b/tests/adapters/httpconnection_test.cpp
@@ -44,8 +44,11 @@
     {
         asio::co_spawn(m_context, exchange(bodyBytes), asio::detached);
         m_acceptor.async_accept(m_server, [](boost::system::error_code) {});
-        runFor(50ms);
+        const auto end = std::chrono::steady_clock::now() + 5s;
+        while (!m_server.is_open() && std::chrono::steady_clock::now() < end)
+            runFor(2ms);
         REQUIRE(m_server.is_open());
+        runFor(50ms);
     }
 
     void send(const std::string &bytes)
