--- a/review/standin-3/standin.h
+++ b/review/standin-3/standin.h
@@ -318,18 +318,63 @@
     return result;
 }
 
-// The platform's store: POST /rows-tx, GET /rows-get and GET /rows-feed. It loses nothing.
+// The platform's store: POST /rows-tx, GET /rows-get and GET /rows-feed. It loses nothing that it has acknowledged, but
+// in a drill.
 class Store
 {
 public:
-    explicit Store(const std::string &address) : m_server(address, [this](int fd) { serve(fd); }) {}
+    explicit Store(std::string address) : m_address(std::move(address)) { open(); }
 
-    // What the operator writes.
-    void putConfig(const std::string &document)
+    // What the operator writes. Returns the version of the write.
+    std::int64_t putConfig(const std::string &document)
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        set("op", "", "config", encodeBase64(document));
+        keep();
+        m_rows[{"op", "", "config"}] = {encodeBase64(document), ++m_version};
         m_changed.notify_all();
+        return m_version;
+    }
+
+    std::int64_t version()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_version;
+    }
+    // When the last write was performed.
+    Clock::time_point lastWrite()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_copies.empty() ? Start : m_copies.back().m_until;
+    }
+
+    // The store is away for a moment and comes back from a copy that is some time old. What the operator wrote since is
+    // written again.
+    void drill(Milliseconds away, Milliseconds age, const std::function<void()> &onReturn)
+    {
+        const Clock::time_point asOf = Clock::now() - age;
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_isAway = true;
+            m_changed.notify_all();
+        }
+        m_server->stop();
+        std::this_thread::sleep_for(away);
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            const std::map<Key, Row> lost = m_rows;
+            for (auto copy = m_copies.rbegin(); copy != m_copies.rend() && copy->m_until > asOf; ++copy) {
+                m_rows = copy->m_rows;
+                m_version = copy->m_version;
+            }
+            ++m_era;
+            for (const auto &[key, row] : lost) {
+                if (std::get<0>(key) == "op" && (!m_rows.contains(key) || m_rows[key].m_value != row.m_value))
+                    m_rows[key] = {row.m_value, ++m_version};
+            }
+            m_isAway = false;
+        }
+        open();
+        onReturn();
     }
 
 private:
@@ -339,12 +384,21 @@
         std::int64_t m_version = 0;
     };
     using Key = std::tuple<std::string, std::string, std::string>;
+    // The rows before a write.
+    struct Copy
+    {
+        Clock::time_point m_until;
+        std::map<Key, Row> m_rows;
+        std::int64_t m_version;
+    };
 
-    void set(const std::string &table, const std::string &part, const std::string &key, const std::string &value)
+    void open()
     {
-        m_rows[{table, part, key}] = {value, ++m_version};
+        m_server = std::make_unique<Server>(m_address, [this](int fd) { serve(fd); });
     }
 
+    void keep() { m_copies.push_back({Clock::now(), m_rows, m_version}); }
+
     json::object rowOf(const Key &key, const Row &row) const
     {
         return {{"table", std::get<0>(key)}, {"part", std::get<1>(key)}, {"key", std::get<2>(key)},
@@ -355,7 +409,9 @@
     {
         body["ver"] = m_version;
         body["now_s"] = std::chrono::duration<double>(Clock::now() - Start).count();
-        return response(status, "Content-Type: application/json\r\nStore-Era: 1\r\n", json::serialize(body));
+        return response(status,
+                        "Content-Type: application/json\r\nStore-Era: " + std::to_string(m_era) + "\r\n",
+                        json::serialize(body));
     }
 
     void serve(int fd)
@@ -364,11 +420,13 @@
         Message request;
         while (reader.message(request)) {
             sleepFor(4);
-            if (!sendAll(fd, answer(request)))
+            const std::string bytes = answer(request);
+            if (bytes.empty() || !sendAll(fd, bytes))
                 return;
         }
     }
 
+    // Returns an empty text if the store is away.
     std::string answer(const Message &request)
     {
         const std::string target = request.target();
@@ -378,6 +436,8 @@
         for (std::string part; std::getline(parts, part, '&');)
             query[part.substr(0, part.find('='))] = decodePercent(part.substr(part.find('=') + 1));
         std::unique_lock<std::mutex> lock(m_mutex);
+        if (m_isAway)
+            return "";
         if (path == "/rows-tx")
             return transaction(json::parse(request.m_body).as_object());
         if (path == "/rows-get") {
@@ -397,6 +457,9 @@
         }
         if (path == "/rows-feed") {
             const std::int64_t after = std::stoll(query["after"]);
+            // "a read from one that it doesn't have gets 410"
+            if (after > m_version)
+                return reply(410, {});
             json::array rows;
             const auto collect = [&] {
                 rows.clear();
@@ -404,10 +467,10 @@
                     if (std::get<0>(key) == query["table"] && row.m_version > after)
                         rows.push_back(rowOf(key, row));
                 }
-                return !rows.empty();
+                return !rows.empty() || m_isAway;
             };
             m_changed.wait_for(lock, Milliseconds(std::stoi(query["wait_ms"])), collect);
-            return reply(200, {{"rows", rows}});
+            return m_isAway ? "" : reply(200, {{"rows", rows}});
         }
         return reply(404, {});
     }
@@ -420,27 +483,33 @@
             const json::object &row = entry.as_object();
             const Key key{row.at("table").as_string(), row.at("part").as_string(), row.at("key").as_string()};
             const auto found = m_rows.find(key);
-            holds = holds && (found == m_rows.end() ? 0 : found->second.m_version) == row.at("ver").to_number<std::int64_t>();
+            const std::int64_t version = found == m_rows.end() ? 0 : found->second.m_version;
+            holds = holds && version == row.at("ver").to_number<std::int64_t>();
             if (found != m_rows.end())
                 current.push_back(rowOf(key, found->second));
         }
         if (!holds)
             return reply(412, {{"rows", current}});
+        keep();
+        ++m_version;
         for (const json::value &entry : body.at("set_keys").as_array()) {
             const json::object &row = entry.as_object();
             const Key key{row.at("table").as_string(), row.at("part").as_string(), row.at("key").as_string()};
-            m_rows[key] = {std::string(row.at("value").as_string()), m_version + 1};
+            m_rows[key] = {std::string(row.at("value").as_string()), m_version};
         }
-        ++m_version;
         m_changed.notify_all();
         return reply(200, {});
     }
 
+    std::string m_address;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<Key, Row> m_rows;
     std::int64_t m_version = 0;
-    Server m_server;
+    std::vector<Copy> m_copies;
+    int m_era = 1;
+    bool m_isAway = false;
+    std::unique_ptr<Server> m_server;
 };
 
 // One machine: its addresses on a loopback address of its own, its node process and its settings.
@@ -645,6 +714,17 @@
     const std::string &id() const { return m_id; }
     std::atomic<int> m_running{0};
 
+    // The backend server leaves: it says so in its messages and its status check, and goes on serving. Returns whether
+    // its leaving is acknowledged.
+    bool drain(int milliseconds)
+    {
+        m_leaving = true;
+        const Clock::time_point until = Clock::now() + Milliseconds(milliseconds);
+        while (!m_acknowledged && Clock::now() < until)
+            sleepFor(10);
+        return m_acknowledged;
+    }
+
     // A whole answer of this backend server.
     std::string answer(const Message &request, int status, const std::string &fields, const std::string &body) const
     {
@@ -667,7 +747,7 @@
         while (reader.message(request)) {
             std::string bytes;
             if (request.target() == "/health") {
-                bytes = response(200, "X-Chervilmount-Instance-Id: " + m_id + "\r\n" + load(), "");
+                bytes = response(m_leaving ? 503 : 200, "X-Chervilmount-Instance-Id: " + m_id + "\r\n" + load(), "");
             } else if (request.field("x-chervilmount-expected-instance") != m_id) {
                 bytes = response(421,
                                  "X-Chervilmount-Attempt-Id: " + request.field("x-chervilmount-attempt-id")
@@ -687,17 +767,22 @@
     {
         int sequence = 0;
         Clock::time_point next = Clock::now();
+        bool wasLeaving = false;
         while (!m_stopped) {
-            if (Clock::now() >= next) {
+            const bool leaving = m_leaving;
+            if (Clock::now() >= next || leaving != wasLeaving) {
+                wasLeaving = leaving;
                 const std::string body = json::serialize(
                         json::object{{"service", m_machine.m_service}, {"address", m_machine.m_app},
                                      {"zone", m_machine.m_zone}, {"version", "v1"}, {"slots", m_slots},
-                                     {"state", "ready"}, {"cold_remaining_s", 0}, {"sequence", ++sequence},
+                                     {"state", leaving ? "draining" : "ready"}, {"cold_remaining_s", 0}, {"sequence", ++sequence},
                                      {"born", m_born}});
-                call(m_machine.m_control,
-                     "PUT /instances/" + m_id + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n"
+                const Message answer = call(
+                        m_machine.m_control,
+                        "PUT /instances/" + m_id + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n"
                              + "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
-                     1000);
+                        1000);
+                m_acknowledged = m_acknowledged || (leaving && answer.status() / 100 == 2);
                 next = Clock::now() + Milliseconds(1500);
             }
             sleepFor(50);
@@ -711,6 +796,8 @@
     int m_slots;
     std::int64_t m_born;
     std::atomic<bool> m_stopped{false};
+    std::atomic<bool> m_leaving{false};
+    std::atomic<bool> m_acknowledged{false};
     Server m_server;
     std::thread m_heart;
 };
