--- a/review/standin-3/drill.cpp
+++ b/review/standin-3/drill.cpp
@@ -38,7 +38,7 @@
         fleet.start(machine);
     for (const Machine &machine : machines) {
         if (!waitUntilReady(machine, 20000))
-            return 2;
+            return record.line("could not run"), 2;
     }
     const auto ask = [&](const Machine &machine, const std::string &id) {
         const Message answer =
@@ -52,18 +52,18 @@
     const Clock::time_point settled = Clock::now() + std::chrono::seconds(40);
     while (Clock::now() - store.lastWrite() < std::chrono::seconds(6)) {
         if (Clock::now() > settled)
-            return 2;
+            return record.line("could not run"), 2;
         sleepFor(100);
     }
     for (const Machine &machine : machines) {
         if (!ask(machine, "before-" + machine.m_name))
-            return 2;
+            return record.line("could not run"), 2;
     }
 
     // Planned work: one backend leaves, and the operator publishes a config without the route.
     const std::int64_t before = store.version();
     if (!backends[2]->drain(4000))
-        return 2;
+        return record.line("could not run"), 2;
     record.line("backend 2 leaves and is acknowledged; versions of the store " + std::to_string(before) + " to "
                 + std::to_string(store.version()));
     sleepFor(1500);
--- a/review/standin-3/gathered.cpp
+++ b/review/standin-3/gathered.cpp
@@ -46,10 +46,10 @@
     for (Machine &entry : entries)
         fleet.start(entry);
     if (!waitUntilReady(orders, 20000))
-        return 2;
+        return record.line("could not run"), 2;
     for (Machine &entry : entries) {
         if (!waitUntilReady(entry, 20000))
-            return 2;
+            return record.line("could not run"), 2;
     }
     sleepFor(4000);
     std::vector<std::unique_ptr<MemoryWatch>> platform;
@@ -83,6 +83,6 @@
     for (const std::unique_ptr<MemoryWatch> &watch : platform)
         watch->stop();
     if (!isPrepared)
-        return 2;
+        return record.line("could not run"), 2;
     return clients.isBroken() ? 1 : 0;
 }
--- a/review/standin-3/smuggled.cpp
+++ b/review/standin-3/smuggled.cpp
@@ -34,13 +34,13 @@
     fleet.start(first);
     fleet.start(second);
     if (!waitUntilReady(first, 20000) || !waitUntilReady(second, 20000))
-        return 2;
+        return record.line("could not run"), 2;
     sleepFor(3000);
     const Message calm = call(first.m_outbound,
                               requestHead("POST", "/order/0", "calm", 6000) + "Content-Length: 4\r\n\r\ncalm", 7000);
     record.line("calm request: answer " + std::to_string(calm.status()));
     if (calm.status() != 200)
-        return 2;
+        return record.line("could not run"), 2;
 
     // The body of request "outer" is the text of a request that no client sends.
     const std::string body = requestHead("GET", "/lookup/inner", "inner", 6000) + "\r\n";
--- a/review/standin-3/uploads.cpp
+++ b/review/standin-3/uploads.cpp
@@ -34,7 +34,7 @@
     fleet.start(entry);
     fleet.start(orders);
     if (!waitUntilReady(entry, 20000) || !waitUntilReady(orders, 20000))
-        return 2;
+        return record.line("could not run"), 2;
     sleepFor(3500); // contact_s, so that the machines are in touch
     MemoryWatch platform(record, entry);
     KeptClients clients(record, entry, Clients);
@@ -52,6 +52,6 @@
     clients.join();
     platform.stop();
     if (!isPrepared)
-        return 2;
+        return record.line("could not run"), 2;
     return clients.isBroken() ? 1 : 0;
 }
