--- a/review/standin-3/config.h
+++ b/review/standin-3/config.h
@@ -8,7 +8,7 @@
 inline const std::string Key = "6wsjnbanfqasnmgkcuyj";
 
 // Two services: `catalogue` with an idempotent route, `orders` with a non_idempotent one and an upload.
-inline std::string config(int version, const std::string &moreRoutes = "")
+inline std::string config(int version, const std::string &moreRoutes = "", const std::string &moreKeys = "")
 {
     return "{\"version\":\"r" + std::to_string(version) + R"(","routes":{"columns":["name","host","prefix","kind",)"
             R"("timeout_s","target_latency_s","priority","traffic_split","max_attempts","auth_exempt","service"],"rows":[)"
@@ -20,14 +20,15 @@
             R"(["catalogue","/health",1150,"h1",false],["orders","/health",1150,"h1",false]]},)"
             R"("limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15},)"
             R"("tenants":{"columns":["name","api_keys","priority","rate_per_s","burst"],"rows":[["pulo780",[")"
-            + Key + R"("],1,0,0]]}})";
+            + Key + "\"" + moreKeys + R"(],1,0,0]]}})";
 }
 
 // The head of a client's request up to the fields that frame its body.
-inline std::string requestHead(const std::string &method, const std::string &path, const std::string &id, int deadline)
+inline std::string requestHead(const std::string &method, const std::string &path, const std::string &id, int deadline,
+                               const std::string &key = Key)
 {
     return method + " " + path + " HTTP/1.1\r\nHost: hulo84.example\r\nX-Chervilmount-Attempt-Id: " + id
-            + "\r\nX-Chervilmount-Deadline-Ms: " + std::to_string(deadline) + "\r\nX-Chervilmount-Key: " + Key
+            + "\r\nX-Chervilmount-Deadline-Ms: " + std::to_string(deadline) + "\r\nX-Chervilmount-Key: " + key
             + "\r\n";
 }
 
--- a/review/standin-3/drill.cpp
+++ b/review/standin-3/drill.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+const std::string WithdrawnKey = "8pjbvk9m68k7b2ex5wa5";
 const std::string RemovedRoute = R"(,["r-promotion","hulo84.example","/promotion/","idempotent",6,1.5,2,null,2,false,"catalogue"])";
 
 } // namespace
@@ -16,7 +17,7 @@
     Record record(argc > 1 ? argv[1] : "record.txt");
     const std::string storeAddress = loopback(200) + ":" + std::to_string(freePort(loopback(200)));
     Store store(storeAddress);
-    store.putConfig(config(7, RemovedRoute));
+    store.putConfig(config(7, RemovedRoute, ",\"" + WithdrawnKey + "\""));
     Fleet fleet(record, storeAddress);
     std::vector<Machine> machines;
     machines.push_back(makeMachine(1, "catalogue", "north-a", "north"));
@@ -40,9 +41,9 @@
         if (!waitUntilReady(machine, 20000))
             return record.line("could not run"), 2;
     }
-    const auto ask = [&](const Machine &machine, const std::string &id) {
-        const Message answer =
-                call(machine.m_outbound, requestHead("GET", "/promotion/1", id, 6000) + "\r\n", 7000);
+    const auto ask = [&](const Machine &machine, const std::string &path, const std::string &key,
+                         const std::string &id) {
+        const Message answer = call(machine.m_outbound, requestHead("GET", path, id, 6000, key) + "\r\n", 7000);
         const std::lock_guard<std::mutex> lock(mutex);
         record.line("request " + id + " at " + machine.m_name + ": answer " + std::to_string(answer.status())
                     + (ran.contains(id) ? ", a backend has run it" : ", not run"));
@@ -56,11 +57,13 @@
         sleepFor(100);
     }
     for (const Machine &machine : machines) {
-        if (!ask(machine, "before-" + machine.m_name))
+        if (!ask(machine, "/promotion/1", Key, "route-before-" + machine.m_name)
+            || !ask(machine, "/lookup/1", WithdrawnKey, "key-before-" + machine.m_name))
             return record.line("could not run"), 2;
     }
 
-    // Planned work: one backend leaves, and the operator publishes a config without the route.
+    // Planned work: one backend leaves, and the operator publishes a config without the route and without one of the tenant's
+    // keys.
     const std::int64_t before = store.version();
     if (!backends[2]->drain(4000))
         return record.line("could not run"), 2;
@@ -69,7 +72,7 @@
     sleepFor(1500);
     const auto publish = [&] {
         const std::int64_t version = store.putConfig(config(9));
-        record.line("operator: r9 without the route is acknowledged, version " + std::to_string(version)
+        record.line("operator: r9 without the route and the key is acknowledged, version " + std::to_string(version)
                     + " of the store");
     };
     if (hasTrouble()) {
@@ -83,11 +86,14 @@
     sleepFor(12000);
     int stale = 0;
     for (int round = 0; round < 3; ++round) {
-        for (const Machine &machine : machines)
-            stale += ask(machine, "after" + std::to_string(round) + "-" + machine.m_name) ? 1 : 0;
+        const std::string after = "-after" + std::to_string(round) + "-";
+        for (const Machine &machine : machines) {
+            stale += ask(machine, "/promotion/1", Key, "route" + after + machine.m_name) ? 1 : 0;
+            stale += ask(machine, "/lookup/1", WithdrawnKey, "key" + after + machine.m_name) ? 1 : 0;
+        }
         sleepFor(3000);
     }
     record.line((stale > 0 ? "BROKEN CONFIG: " : "held: ") + std::to_string(stale)
-                + " requests run on the removed route, more than 10 s after its removal was acknowledged");
+                + " requests run on the removed route or with the withdrawn key, more than 10 s after r9 was acknowledged");
     return stale > 0 ? 1 : 0;
 }
