Answer 502 where a server's failure would tell callers "not run"

What callers saw: a backend server ran an order and failed with 503, 429, 408 or 421, without stating that it has not run the order.

Cause: whether a request may have run is known from its DispatchRecord, which every answer that the node makes itself asks. An answer of the server was passed on without asking it, although its status makes the same statement to the caller.

Change: EntryCall::finish(), through which all answers to dispatched requests go, replaces an answer whose status states "not run" by 502 if the request may have run. The seal and the fields go as well: the seal proves another status, and Retry-After invites to come back. 408, 421 and 429 of a server are set aside while a second attempt runs, as 500 and above were.

Not done: a repeat of idempotent requests after such a failure, which would cost attempts that it did not cost before; outlier detection, which still counts a server's failure as a success of the attempt.

Failed on: platform_tests "A status that means not run reaches no caller for a request that may have run" (56 of 56 variants: status, seal, kind of request, upload, entry node beside the server or not). Held before and after: "A true refusal reaches the caller as not run, with the time to come back" (one attempt) and "Other failures of a backend server reach the caller as they are".

--- a/packages/relay/entry/entrycall.cpp
+++ b/packages/relay/entry/entrycall.cpp
@@ -206,7 +206,8 @@
 {
     recordAttempt(node, routing::AttemptResult::Success, std::chrono::steady_clock::now());
     // The other attempt may still be served.
-    if (answer.m_status >= 500 && !m_running.empty()) {
+    const bool isFailure = answer.m_status >= 500 || traffic::statesNotRun(answer.m_status);
+    if (isFailure && !m_running.empty()) {
         ++m_arrivals;
         return;
     }
@@ -373,10 +374,18 @@
     return true;
 }
 
-void EntryCall::finish(Outcome outcome, HttpResponse response, const std::string &reason)
+void EntryCall::finish(Outcome outcome, HttpResponse response, std::string reason)
 {
     if (!end(outcome))
         return;
+    // A backend server may fail with such a status after it has run the request. The whole answer
+    // is replaced: its seal proves a status, and its fields may tell the caller when to come back.
+    const int status = static_cast<int>(response.result_int());
+    if (traffic::statesNotRun(status) && traffic::mayHaveRun(m_dispatches)) {
+        reason = "status " + std::to_string(status)
+                + " of the backend server, which may have run the request";
+        response = makeResponse(502, reason + "\n");
+    }
     const TimePoint now = std::chrono::steady_clock::now();
     const HeaderNames &names = m_services.m_settings.m_headers;
     if (!m_entry.m_attempt.empty() && fieldValue(response, names.m_attempt).empty())
--- a/packages/relay/entry/entrycall.h
+++ b/packages/relay/entry/entrycall.h
@@ -96,7 +96,7 @@
     /** Cancels the timer and the attempts, settles the token and counts the outcome.
      * @returns false if the request had ended before. */
     bool end(Outcome outcome);
-    void finish(Outcome outcome, HttpResponse response, const std::string &reason);
+    void finish(Outcome outcome, HttpResponse response, std::string reason);
     void logSecondAttempt(const traffic::RunningAttempt &attempt, TimePoint now);
     void log(Outcome outcome, int status, const std::string &reason, TimePoint now);
     /** @returns the share of the target latency that the request may spend waiting for a slot. */
--- a/packages/traffic/dispatch/dispatchrecord.cpp
+++ b/packages/traffic/dispatch/dispatchrecord.cpp
@@ -19,4 +19,9 @@
     return record.m_unresolved > 0;
 }
 
+bool statesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace chervilmount::traffic
--- a/packages/traffic/dispatch/dispatchrecord.h
+++ b/packages/traffic/dispatch/dispatchrecord.h
@@ -20,4 +20,11 @@
 
 bool mayHaveRun(const DispatchRecord &record);
 
+/**
+ * @returns whether an HTTP status tells a caller that its request has not run and never will: 408,
+ * 421, 429 and 503. A backend server's status says nothing of the kind, since the server may have
+ * failed with it after the run.
+ */
+bool statesNotRun(int status);
+
 } // namespace chervilmount::traffic
--- a/tests/platform/brokenanswers_test.cpp
+++ b/tests/platform/brokenanswers_test.cpp
@@ -157,3 +157,63 @@
     CHECK(received.starts_with("HTTP/1.1 502 "));
     CHECK(test.m_backend->m_arrivals == 1);
 }
+
+// Guards against a caller that is told "not run" and orders again: the backend server fails with
+// such a status after it has run the request, without stating that it has not run.
+TEST_CASE("A status that means not run reaches no caller for a request that may have run")
+{
+    BrokenAnswerCase test;
+    const std::string status = GENERATE(as<std::string>(), "503", "429", "408", "421");
+    const bool beside = GENERATE(false, true);
+    const std::string seal = GENERATE(as<std::string>(), Seal, "");
+    const std::string target = GENERATE(as<std::string>(), "/orders/1", "/slips/1");
+    const std::string upload = GENERATE(as<std::string>(), "", std::string(200000, 'x'));
+    CAPTURE(status, beside, seal, target, upload.size());
+    // Without a seal this status comes from a server that the request was not meant for.
+    if (status == "421" && seal.empty())
+        return;
+    test.m_backend->m_script = [&](RawCaller &connection, const std::string &attempt) {
+        connection.send(headOf(status, attempt) + seal
+                        + "Retry-After: 1\r\nContent-Length: 6\r\n\r\nsecret");
+    };
+    const std::string received = test.call(test.node(beside), "POST", target, "a1", upload);
+    CHECK(received.starts_with("HTTP/1.1 502 "));
+    CHECK(isFailureOfNode(received));
+    CHECK(received.find("Retry-After") == std::string::npos);
+    CHECK(test.m_backend->m_arrivals == 1);
+}
+
+// Guards against the opposite fault: a refusal that is true and loses its promise or its time to
+// come back, or that costs more attempts than one at each server.
+TEST_CASE("A true refusal reaches the caller as not run, with the time to come back")
+{
+    BrokenAnswerCase test;
+    const std::string status = GENERATE(as<std::string>(), "503", "429", "421", "400");
+    const bool beside = GENERATE(false, true);
+    const std::string target = GENERATE(as<std::string>(), "/orders/1", "/slips/1");
+    CAPTURE(status, beside, target);
+    test.m_backend->m_script = [&](RawCaller &connection, const std::string &attempt) {
+        connection.send(headOf(status, attempt)
+                        + "X-Chervilmount-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    };
+    const std::string received = test.call(test.node(beside), "POST", target, "a1");
+    CHECK(received.starts_with("HTTP/1.1 503 "));
+    CHECK(received.find("Retry-After: ") != std::string::npos);
+    CHECK(test.m_backend->m_arrivals == 1);
+}
+
+// Guards against other failures of a backend server that lose their status or seal.
+TEST_CASE("Other failures of a backend server reach the caller as they are")
+{
+    BrokenAnswerCase test;
+    const std::string status = GENERATE(as<std::string>(), "400", "404", "500", "502", "504");
+    const bool beside = GENERATE(false, true);
+    CAPTURE(status, beside);
+    test.m_backend->m_script = [&](RawCaller &connection, const std::string &attempt) {
+        connection.send(headOf(status, attempt) + Seal + "Content-Length: 6\r\n\r\nreason");
+    };
+    const std::string received = test.call(test.node(beside), "POST", "/orders/1", "a1");
+    CHECK(received.starts_with("HTTP/1.1 " + status + " "));
+    CHECK(received.find("Seal: seal") != std::string::npos);
+    CHECK(received.ends_with("\r\n\r\nreason"));
+}
