Keep servers from stating "not run" in the place of the project's node

What callers could see: on the project's own interface a refusal is stated by the field Chervilmount-Outcome. A backend server that ran a request and wrote this field itself, or the time to come back, had it passed on to the caller.

Fields with the reserved prefix were removed from requests only.

Change: CallRunner removes them from answers as well.

--- a/packages/node/entry/callrunner.cpp
+++ b/packages/node/entry/callrunner.cpp
@@ -3,6 +3,7 @@
 #include "messages/codec/framecodec.h"
 #include "node/calls/bodychecksum.h"
 #include "node/calls/requestids.h"
+#include "node/entry/callerrequests.h"
 
 #include <algorithm>
 #include <utility>
@@ -275,7 +276,8 @@
     head.m_bodyBytes = call.m_head->m_bodyBytes;
     for (const messages::HeaderField &field : call.m_head->m_fields)
         head.m_fields.push_back({field.m_name, field.m_value});
-    adapters::removeField(head.m_fields, "Chervilmount-Request-Id");
+    // The node's own statements, such as whether the request has run, are not the server's to make.
+    removeReservedFields(head.m_fields);
     head.m_fields.push_back(
             {"Chervilmount-Request-Id", toHex(attempt.m_plan.m_context.m_requestId)});
     if (attempt.m_copy != nullptr)
--- a/tests/node/requestpath_test.cpp
+++ b/tests/node/requestpath_test.cpp
@@ -94,3 +94,36 @@
         CHECK(response.m_head.field("Chervilmount-Reason") == "no-candidate");
     });
 }
+
+// Guards against a caller that is told "not run" by a backend server which has run its request: the
+// field that states it is the node's, and the server has written it as well.
+TEST_CASE("A backend server cannot state in the node's place that a request has not run")
+{
+    Fleet fleet(2);
+    fleet.run([&fleet]() -> adapters::Task<> {
+        FakeBackend backend(fleet.executor(),
+                            [](adapters::HttpExchange &exchange) -> adapters::Task<> {
+                                adapters::HttpResponseHead head;
+                                head.m_status = 503;
+                                head.m_fields = {{"Chervilmount-Outcome", "not-run"},
+                                                 {"chervilmount-retry-after-ms", "100"},
+                                                 {"X-Backend", "failed"}};
+                                co_await exchange.respond(head, "failed after the run");
+                            });
+        const int announced =
+                co_await backend.announce(fleet.settings(1).m_localAddress, "slipdesk");
+        REQUIRE(announced == 200);
+        const bool published = co_await fleet.publish(sampleConfiguration());
+        REQUIRE(published);
+        const bool serving = co_await fleet.waitUntilServing(0, "slipdesk", 1);
+        REQUIRE(serving);
+        const TestRequest request = keyedRequest("/slips/7");
+        const TestResponse response =
+                co_await sendRequest(fleet.settings(0).m_callerAddress, request);
+        CHECK(response.m_status == 503);
+        CHECK(response.m_head.field("X-Backend") == "failed");
+        CHECK(response.m_head.field("Chervilmount-Outcome").empty());
+        CHECK(response.m_head.field("Chervilmount-Retry-After-Ms").empty());
+        CHECK(response.m_head.field("Chervilmount-Request-Id").size() == 32);
+    });
+}
