Log once that the store names no era

A node of a platform whose store names no era gave no sign of it, although drills are then seen only by versions that go back. The first answer without an era is logged (event=store-era era=none).

--- a/packages/relay/runtime/relaynode.cpp
+++ b/packages/relay/runtime/relaynode.cpp
@@ -342,12 +342,13 @@
 
 void RelayNode::storeEraRead(traffic::EraReading reading)
 {
+    const std::optional<std::uint64_t> era = m_store.m_era.m_current;
     logState("store-era",
-             {{"era", std::to_string(m_store.m_era.m_current.value_or(0))},
+             {{"era", era ? std::to_string(*era) : "none"},
               {"reading", traffic::nameOf(reading)},
               {"policy", std::to_string(m_policy.version())}});
     if (reading == traffic::EraReading::Newer)
-        m_registry.handleEra(*m_store.m_era.m_current);
+        m_registry.handleEra(*era);
 }
 
 void RelayNode::handlePeerPolicyVersion(const std::string &node, std::uint64_t version)
--- a/packages/relay/store/sharedstore.h
+++ b/packages/relay/store/sharedstore.h
@@ -87,7 +87,7 @@
     /** Eras that the store has named. An answer of an earlier one counts as a failed call. */
     traffic::StoreEra m_era;
     /** Called when the store names its first era, a newer one, or for the first time since the last
-     * era no comparable one. */
+     * era no comparable one; and once if its first answer names none. */
     std::function<void(traffic::EraReading)> m_onEra;
     /** False after several failed calls in a row. */
     bool m_reachable = true;
