--- a/packages/traffic/storeera/storeera.cpp
+++ b/packages/traffic/storeera/storeera.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-/** A row that was lost takes two writes, so this leads to 200 a second, which one table takes. */
+/** A row that was lost takes two writes, so this leads to 200 a second, which one part of the store
+ * performs. */
 constexpr std::chrono::milliseconds RenewalTimePerNode{10};
 
 } // namespace
--- a/packages/traffic/storeera/storeera.h
+++ b/packages/traffic/storeera/storeera.h
@@ -62,7 +62,7 @@
 
 /**
  * Draws the time after which a node writes its row again when the store has come back from a copy.
- * All nodes learn of it at once, and the store performs the writes of one table one after another.
+ * All nodes learn of it at once, and the store performs the writes of one part one after another.
  * @param nodes nodes that write.
  */
 std::chrono::milliseconds renewalDelay(std::size_t nodes, std::mt19937_64 &random);
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -37,6 +37,7 @@
     int nodes = 8;
     int direct = 0;
     int delay = 0;
+    int drills = 0;
     const poptOption options[] = {
             {"node", '\0', POPT_ARG_STRING, &program, 0, "program of the node", "FILE"},
             {"folder", '\0', POPT_ARG_STRING, &folder, 0, "folder for settings and logs", "DIR"},
@@ -46,6 +47,8 @@
             {"direct", '\0', POPT_ARG_NONE, &direct, 0, "no proxies between the nodes", nullptr},
             {"delay", '\0', POPT_ARG_INT, &delay, 0,
              "delays the links to the store without excuse; the soak has to find that", "MS"},
+            {"drills", '\0', POPT_ARG_NONE, &drills, 0,
+             "no faults but drills of the store, which restarts and cuts would hide", nullptr},
             POPT_AUTOHELP POPT_TABLEEND};
     const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
             poptGetContext("chervilmount-soak", count, const_cast<const char **>(values), options,
@@ -68,6 +71,7 @@
     settings.m_nodes = nodes;
     settings.m_usesPeerProxies = direct == 0;
     settings.m_unexcusedDelay = std::chrono::milliseconds(delay);
+    settings.m_playsDrillsOnly = drills != 0;
     std::free(program);
     std::free(folder);
     try {
--- a/tests/platform/soak/policysoak.cpp
+++ b/tests/platform/soak/policysoak.cpp
@@ -27,6 +27,11 @@
 constexpr Milliseconds LookInterval{50};
 constexpr Milliseconds SlowedTime{150};
 /** @} */
+/** Time in which each follower has polled the store once more. */
+constexpr Milliseconds PollTime{2000};
+/** Time after a drill until answers have been judged by the version written right after it; the
+ * next version would hide that it was missed. */
+constexpr Milliseconds JudgedTime{7000};
 constexpr Milliseconds RestartDelay{500};
 constexpr Milliseconds ReadinessLimit{20000};
 /** Versions increase in uneven steps. */
@@ -75,7 +80,8 @@
     m_lastLook = m_startedAt;
     watchProcessorTime();
     scheduleVersion(draw(200, 3000), 0);
-    scheduleFault();
+    if (!m_settings.m_playsDrillsOnly)
+        scheduleFault();
     scheduleDrill();
     runFor(m_settings.m_duration);
     m_report.m_judged = m_watch.m_judged;
@@ -138,6 +144,11 @@
 void PolicySoak::scheduleVersion(Milliseconds delay, int inSeries)
 {
     after(delay, [this, inSeries] {
+        const TimePoint now = std::chrono::steady_clock::now();
+        if (now < m_quietUntil) {
+            scheduleVersion(std::chrono::ceil<Milliseconds>(m_quietUntil - now), inSeries);
+            return;
+        }
         writeVersion();
         constexpr int LongestSeries = 6;
         const bool startsSeries = inSeries == 0 && m_random() % 4 == 0;
@@ -186,9 +197,15 @@
 
 void PolicySoak::scheduleDrill()
 {
-    after(drawForDrill(3000, 12000), [this] {
-        drill();
-        scheduleDrill();
+    after(drawForDrill(3000, 9000), [this] {
+        // A write that the drill takes back and that the nodes have followed, so that the next
+        // version of the policy can get its number.
+        m_store.put("other", "row", clock());
+        m_quietUntil = std::chrono::steady_clock::now() + PollTime;
+        after(PollTime, [this] {
+            drill();
+            scheduleDrill();
+        });
     });
 }
 
@@ -197,19 +214,31 @@
     if (m_isStoreHarmed)
         return;
     m_isStoreHarmed = true;
-    const Milliseconds away = drawForDrill(50, 1000);
-    const Milliseconds age = drawForDrill(300, 6000);
-    const bool writesAtOnce = m_drillRandom() % 2 == 0;
-    fault("store away for " + std::to_string(away.count()) + " ms, back from a copy "
-          + std::to_string(age.count()) + " ms old");
+    // After two failed calls other nodes begin to follow the policy, and read it. With open calls
+    // the same ones go on.
+    enum Kind { Silent, Refusing, Open };
+    const auto kind = static_cast<Kind>(m_drillRandom() % 3);
+    const Milliseconds away = kind == Open ? Milliseconds{0} : drawForDrill(20, 1000);
+    const Milliseconds age = PollTime + drawForDrill(50, 2000);
+    const bool writesAtOnce = m_drillRandom() % 4 != 0;
+    const char *const names[] = {"silent", "refusing", "calls open"};
+    fault(std::string("store away, ") + names[kind] + ", for " + std::to_string(away.count())
+          + " ms, back from a copy " + std::to_string(age.count()) + " ms old");
     m_watch.m_storeDownUntil = std::chrono::steady_clock::now() + away;
-    m_store.m_faults.m_silent = true;
-    m_store.dropPendingCalls();
-    after(away, [this, age, writesAtOnce] {
+    m_store.m_faults.m_silent = kind == Silent;
+    m_store.m_faults.m_status = kind == Refusing ? 503 : 0;
+    if (kind == Silent)
+        m_store.dropPendingCalls();
+    else if (kind == Refusing)
+        m_store.refusePendingCalls();
+    after(away, [this, age, away, writesAtOnce] {
         m_store.m_faults.m_silent = false;
-        m_store.restoreCopy(age);
-        if (writesAtOnce)
+        m_store.m_faults.m_status = 0;
+        m_store.restoreCopy(age + away);
+        if (writesAtOnce) {
             writeVersion();
+            m_quietUntil = std::chrono::steady_clock::now() + JudgedTime;
+        }
         m_isStoreHarmed = false;
     });
 }
--- a/tests/platform/soak/policysoak.h
+++ b/tests/platform/soak/policysoak.h
@@ -30,6 +30,9 @@
     int m_nodes = 8;
     /** Other nodes reach each node through a proxy; needs a program that has the setting for it. */
     bool m_usesPeerProxies = true;
+    /** No faults but drills of the store: a node that starts reads the policy and tells the others,
+     * so that a version which all have missed does not stay unknown. */
+    bool m_playsDrillsOnly = false;
     /** Delay of all links to the store, which is not excused: shows that the check finds versions
      * that come into force late. */
     std::chrono::milliseconds m_unexcusedDelay{0};
@@ -137,4 +140,6 @@
     std::uint64_t m_lastCall = 0;
     TimePoint m_lastLook;
     bool m_isStoreHarmed = false;
+    /** No version is written until then. */
+    TimePoint m_quietUntil;
 };
--- a/tests/platform/standin/fleet.cpp
+++ b/tests/platform/standin/fleet.cpp
@@ -3,6 +3,8 @@
 #include "adapters/logging/decisionlog.h"
 #include "relay/http/socketoptions.h"
 
+#include <algorithm>
+
 using namespace chervilmount;
 using namespace chervilmount::relay;
 
@@ -131,6 +133,22 @@
             limit);
 }
 
+bool Fleet::haveVersion(std::uint64_t version) const
+{
+    return std::all_of(m_nodes.begin(), m_nodes.end(),
+                       [version](const std::unique_ptr<FleetNode> &node) {
+                           return node->m_node->policyVersion() == version;
+                       });
+}
+
+bool Fleet::areRowsStored() const
+{
+    return std::all_of(m_nodes.begin(), m_nodes.end(),
+                       [this](const std::unique_ptr<FleetNode> &node) {
+                           return !m_store.value(NodeTable, node->m_name).empty();
+                       });
+}
+
 bool Fleet::startTwo()
 {
     addNode("n1", "slipdesk");
--- a/tests/platform/standin/fleet.h
+++ b/tests/platform/standin/fleet.h
@@ -83,6 +83,12 @@
     /** Waits until every node is ready and linked to all others. */
     bool settle(std::chrono::milliseconds limit = std::chrono::seconds{5});
 
+    /** @returns whether this version of the configuration is in force at all nodes. */
+    bool haveVersion(std::uint64_t version) const;
+
+    /** @returns whether the store holds the rows of all nodes. */
+    bool areRowsStored() const;
+
     /** Starts two nodes with backend servers of the callers' service. @returns whether they are
      * ready. */
     bool startTwo();
--- a/tests/platform/standin/rowstore.cpp
+++ b/tests/platform/standin/rowstore.cpp
@@ -80,9 +80,19 @@
 {
     m_compacted = m_version;
     m_changes.clear();
+    endFeeds(410);
+}
+
+void RowStore::refusePendingCalls()
+{
+    endFeeds(503);
+}
+
+void RowStore::endFeeds(int status)
+{
     const std::list<Feed> feeds = std::exchange(m_feeds, {});
     for (const Feed &feed : feeds)
-        respond(feed.m_exchange, 410, {});
+        respond(feed.m_exchange, status, {});
 }
 
 void RowStore::forgetHistory(std::chrono::milliseconds behind)
--- a/tests/platform/standin/rowstore.h
+++ b/tests/platform/standin/rowstore.h
@@ -83,6 +83,9 @@
      * response, and their connections stay open. */
     void dropPendingCalls(const std::string &address = "");
 
+    /** Answers the calls that wait for changes with 503. */
+    void refusePendingCalls();
+
     /** @returns whether a call of the address waits for a change. */
     bool hasPendingCalls(const std::string &address) const;
 
@@ -174,6 +177,7 @@
     /** @returns the row as reads see it. */
     Row rowForReads(const std::string &table, const std::string &key) const;
     void respond(const Exchange &exchange, int status, boost::json::object body);
+    void endFeeds(int status);
 
     boost::asio::io_context &m_context;
     chervilmount::relay::TimerQueue m_timers;
--- a/tests/platform/storeera_test.cpp
+++ b/tests/platform/storeera_test.cpp
@@ -1,28 +1,21 @@
 #include "platform/standin/fleet.h"
+#include "relay/store/noderow.h"
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 using namespace std::chrono_literals;
+using chervilmount::relay::NodeTable;
 
 namespace {
 
 /** Bound of the platform in which a new version has to be in force. */
 constexpr std::chrono::milliseconds ApplyBound{2000};
 
-bool haveVersion(const Fleet &fleet, std::uint64_t version)
-{
-    return std::all_of(fleet.m_nodes.begin(), fleet.m_nodes.end(),
-                       [version](const std::unique_ptr<FleetNode> &node) {
-                           return node->m_node->policyVersion() == version;
-                       });
-}
-
 /** Two nodes that have followed writes which the store then loses. */
 struct DrillCase
 {
@@ -70,7 +63,7 @@
     CHECK(test.m_fleet.m_store.version() <= followed);
     // A poll whose connection was lost unnoticed takes its timeout besides.
     const std::chrono::milliseconds lostPoll = losesCalls ? 2250ms : 0ms;
-    CHECK(test.m_fleet.runUntil([&test] { return haveVersion(test.m_fleet, 2); },
+    CHECK(test.m_fleet.runUntil([&test] { return test.m_fleet.haveVersion(2); },
                                 ApplyBound + lostPoll));
 }
 
@@ -88,7 +81,7 @@
     fleet.m_store.restoreCopy(3000ms);
     fleet.m_store.m_era = "";
     fleet.configure(2);
-    CHECK(fleet.runUntil([&fleet] { return haveVersion(fleet, 2); }, ApplyBound));
+    CHECK(fleet.runUntil([&fleet] { return fleet.haveVersion(2); }, ApplyBound));
 }
 
 // Guards against a node that takes nothing from a store whose era cannot be read or goes back.
@@ -102,10 +95,10 @@
     fleet.runFor(500ms);
     fleet.m_store.m_era = era;
     fleet.configure(2);
-    CHECK(fleet.runUntil([&fleet] { return haveVersion(fleet, 2); }, ApplyBound));
+    CHECK(fleet.runUntil([&fleet] { return fleet.haveVersion(2); }, ApplyBound));
     fleet.runFor(500ms);
     fleet.configure(3);
-    CHECK(fleet.runUntil([&fleet] { return haveVersion(fleet, 3); }, ApplyBound));
+    CHECK(fleet.runUntil([&fleet] { return fleet.haveVersion(3); }, ApplyBound));
 }
 
 // Guards against a version that was in force and goes back, as the store first shows an older one.
@@ -113,33 +106,23 @@
 {
     DrillCase test;
     test.m_fleet.configure(5);
-    REQUIRE(test.m_fleet.runUntil([&test] { return haveVersion(test.m_fleet, 5); }, ApplyBound));
+    REQUIRE(test.m_fleet.runUntil([&test] { return test.m_fleet.haveVersion(5); }, ApplyBound));
     test.restoreCopy(60s, true);
     test.m_fleet.configure(4);
     test.m_fleet.runFor(3000ms);
-    CHECK(haveVersion(test.m_fleet, 5));
+    CHECK(test.m_fleet.haveVersion(5));
     test.m_fleet.configure(6);
-    CHECK(test.m_fleet.runUntil([&test] { return haveVersion(test.m_fleet, 6); }, ApplyBound));
+    CHECK(test.m_fleet.runUntil([&test] { return test.m_fleet.haveVersion(6); }, ApplyBound));
 }
 
 namespace {
 
-constexpr const char *NodeTable = "chervilmount-nodes";
-
 /** @returns the calls that write a row. */
 int writeCalls(Fleet &fleet)
 {
     return fleet.m_store.m_calls["/rows-tx"];
 }
 
-bool areStored(Fleet &fleet)
-{
-    return std::all_of(fleet.m_nodes.begin(), fleet.m_nodes.end(),
-                       [&fleet](const std::unique_ptr<FleetNode> &node) {
-                           return !fleet.m_store.value(NodeTable, node->m_name).empty();
-                       });
-}
-
 } // namespace
 
 // Guards against an acknowledged departure that is forgotten: the store has lost the row with it,
@@ -166,7 +149,7 @@
         fleet.kill(*node);
     for (const std::unique_ptr<FleetNode> &node : fleet.m_nodes)
         fleet.restart(*node);
-    REQUIRE(fleet.runUntil([&fleet] { return haveVersion(fleet, 1); }));
+    REQUIRE(fleet.runUntil([&fleet] { return fleet.haveVersion(1); }));
     CHECK(fleet.tell(leaving, "PUT", leaving.m_backend->id(), late) == 200);
     fleet.announce(*fleet.m_nodes[1]);
     const std::size_t before = leaving.m_backend->m_runs.size();
@@ -190,8 +173,8 @@
     const int readsBefore = fleet.m_store.m_calls["/rows-get"];
     // All rows are lost, so each takes two writes and its node reads the table.
     fleet.m_store.restoreCopy(60s);
-    REQUIRE_FALSE(areStored(fleet));
-    CHECK(fleet.runUntil([&fleet] { return areStored(fleet); }, 4s));
+    REQUIRE_FALSE(fleet.areRowsStored());
+    CHECK(fleet.runUntil([&fleet] { return fleet.areRowsStored(); }, 4s));
     fleet.runFor(500ms);
     CHECK(writeCalls(fleet) - writesBefore <= 2 * Nodes + 3);
     // The followers read the policy besides.
--- a/tests/platform/storeoutage_test.cpp
+++ b/tests/platform/storeoutage_test.cpp
@@ -2,7 +2,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
 #include <set>
 #include <string>
 
@@ -17,14 +16,6 @@
 constexpr std::chrono::milliseconds StretchBound{5000};
 /** @} */
 
-bool haveVersion(const Fleet &fleet, std::uint64_t version)
-{
-    return std::all_of(fleet.m_nodes.begin(), fleet.m_nodes.end(),
-                       [version](const std::unique_ptr<FleetNode> &node) {
-                           return node->m_node->policyVersion() == version;
-                       });
-}
-
 /** Ends the silence of the store that the case has begun. */
 void fallSilent(Fleet &fleet, std::chrono::milliseconds duration)
 {
@@ -47,7 +38,7 @@
     CAPTURE(silence.count());
     fallSilent(fleet, silence);
     fleet.configure(2);
-    CHECK(fleet.runUntil([&fleet] { return haveVersion(fleet, 2); }, ContactBound));
+    CHECK(fleet.runUntil([&fleet] { return fleet.haveVersion(2); }, ContactBound));
 }
 
 // Guards against the same when the version comes only after the outage.
@@ -59,7 +50,7 @@
     fallSilent(fleet, 1000ms);
     fleet.runFor(ContactBound);
     fleet.configure(2);
-    CHECK(fleet.runUntil([&fleet] { return haveVersion(fleet, 2); }, ApplyBound));
+    CHECK(fleet.runUntil([&fleet] { return fleet.haveVersion(2); }, ApplyBound));
 }
 
 // Guards against a region that hears of no version because the store answers none of the nodes that
@@ -93,7 +84,7 @@
         fleet.m_store.dropPendingCalls(address);
     }
     fleet.configure(3);
-    CHECK(fleet.runUntil([&fleet] { return haveVersion(fleet, 3); }, ApplyBound + StretchBound));
+    CHECK(fleet.runUntil([&fleet] { return fleet.haveVersion(3); }, ApplyBound + StretchBound));
 }
 
 // Guards against a version that is missed until the next one: the store had forgotten its history,
@@ -109,5 +100,5 @@
     fleet.runFor(900ms);
     fleet.configure(2);
     fleet.runFor(100ms + behind);
-    CHECK(fleet.runUntil([&fleet] { return haveVersion(fleet, 2); }, ContactBound));
+    CHECK(fleet.runUntil([&fleet] { return fleet.haveVersion(2); }, ContactBound));
 }
