--- a/benchmarks/storedrill/main.cpp
+++ b/benchmarks/storedrill/main.cpp
@@ -42,8 +42,8 @@
 DrillResult playDrill(Fleet &fleet, int version, std::mt19937 &random)
 {
     fleet.runFor(Milliseconds(std::uniform_int_distribution<int>(3000, 4500)(random)));
-    const int writes = fleet.m_store.m_calls["/rows-tx"];
-    const int reads = fleet.m_store.m_calls["/rows-get"];
+    const int writes = fleet.m_store.writeCalls();
+    const int reads = fleet.m_store.readCalls();
     // Away for a moment: connections stay open and give no answer.
     fleet.m_store.m_faults.m_silent = true;
     fleet.m_store.dropPendingCalls();
@@ -73,8 +73,8 @@
                     20s),
             "not up to date after 20 s");
     fleet.runFor(1s);
-    result.m_writes = fleet.m_store.m_calls["/rows-tx"] - writes;
-    result.m_reads = fleet.m_store.m_calls["/rows-get"] - reads;
+    result.m_writes = fleet.m_store.writeCalls() - writes;
+    result.m_reads = fleet.m_store.readCalls() - reads;
     return result;
 }
 
--- a/tests/platform/standin/rowstore.h
+++ b/tests/platform/standin/rowstore.h
@@ -100,6 +100,11 @@
     /** Text that answers name as the era; none if it is empty. */
     std::string m_era = "1";
 
+    /** @returns the calls so far that write rows, and those that read them at once. @{ */
+    int writeCalls() const { return callsOf("/rows-tx"); }
+    int readCalls() const { return callsOf("/rows-get"); }
+    /** @} */
+
     RowStoreFaults m_faults;
     /** Addresses whose listeners answer every call with 503. */
     std::set<std::string> m_refusing;
@@ -158,6 +163,11 @@
         int m_calls = 0;
     };
 
+    int callsOf(const std::string &path) const
+    {
+        const auto found = m_calls.find(path);
+        return found == m_calls.end() ? 0 : found->second;
+    }
     void receive(const std::string &address, const Exchange &exchange,
                  const chervilmount::relay::HttpRequest &request);
     void handle(const std::string &address, const Exchange &exchange, const std::string &target,
--- a/tests/platform/storeera_test.cpp
+++ b/tests/platform/storeera_test.cpp
@@ -115,16 +115,21 @@
     CHECK(test.m_fleet.runUntil([&test] { return test.m_fleet.haveVersion(6); }, ApplyBound));
 }
 
-namespace {
-
-/** @returns the calls that write a row. */
-int writeCalls(Fleet &fleet)
+// Guards against a withdrawn key that is in use again: a node starts while the store shows an older
+// configuration than the others have in force.
+TEST_CASE("A node that starts after a drill takes the newer configuration of the others")
 {
-    return fleet.m_store.m_calls["/rows-tx"];
+    DrillCase test;
+    test.m_fleet.configure(5);
+    REQUIRE(test.m_fleet.runUntil([&test] { return test.m_fleet.haveVersion(5); }, ApplyBound));
+    test.restoreCopy(60s, false);
+    test.m_fleet.configure(4);
+    test.m_fleet.addNode("n3", "slipdesk");
+    CHECK(test.m_fleet.runUntil([&test] { return test.m_fleet.haveVersion(5); }, 1000ms));
+    test.m_fleet.runFor(2000ms);
+    CHECK(test.m_fleet.haveVersion(5));
 }
 
-} // namespace
-
 // Guards against an acknowledged departure that is forgotten: the store has lost the row with it,
 // and all nodes that know of it are killed later.
 TEST_CASE("A departure that the store has lost is stored again")
@@ -169,16 +174,16 @@
     fleet.configure(1);
     REQUIRE(fleet.settle(15s));
     fleet.runFor(3s);
-    const int writesBefore = writeCalls(fleet);
-    const int readsBefore = fleet.m_store.m_calls["/rows-get"];
+    const int writesBefore = fleet.m_store.writeCalls();
+    const int readsBefore = fleet.m_store.readCalls();
     // All rows are lost, so each takes two writes and its node reads the table.
     fleet.m_store.restoreCopy(60s);
     REQUIRE_FALSE(fleet.areRowsStored());
     CHECK(fleet.runUntil([&fleet] { return fleet.areRowsStored(); }, 4s));
     fleet.runFor(500ms);
-    CHECK(writeCalls(fleet) - writesBefore <= 2 * Nodes + 3);
+    CHECK(fleet.m_store.writeCalls() - writesBefore <= 2 * Nodes + 3);
     // The followers read the policy besides.
-    CHECK(fleet.m_store.m_calls["/rows-get"] - readsBefore <= Nodes + 30);
+    CHECK(fleet.m_store.readCalls() - readsBefore <= Nodes + 30);
 }
 
 // Guards against a starting node that finds no other: the store has lost the row of the only one
