--- a/tests/support/freeaddress.h
+++ b/tests/support/freeaddress.h
@@ -75,13 +75,13 @@
 inline std::string freeAddress(boost::asio::io_context & /*context*/, int ports = 1)
 {
     // Blocks stay claimed until the process ends.
-    static std::list<PortBlock> s_blocks;
-    if (s_blocks.empty())
-        s_blocks.emplace_back(::getpid() % PortBlock::Blocks);
-    std::optional<int> port = s_blocks.back().next(ports);
+    static std::list<PortBlock> blocks;
+    if (blocks.empty())
+        blocks.emplace_back(::getpid() % PortBlock::Blocks);
+    std::optional<int> port = blocks.back().next(ports);
     while (!port) {
-        s_blocks.emplace_back(::getpid() % PortBlock::Blocks);
-        port = s_blocks.back().next(ports);
+        blocks.emplace_back(::getpid() % PortBlock::Blocks);
+        port = blocks.back().next(ports);
     }
     return "127.0.0.1:" + std::to_string(*port);
 }
